--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -205,8 +205,9 @@
 
 // Field is one detail of a note.
 type Field struct {
-	Name  string
-	Value string
+	Name string
+	// Value keeps its type in the log: text, a number, a boolean or a time.
+	Value any
 }
 
 // Known holds services whose records are complete.
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -62,6 +62,7 @@
 	return []command{
 		demoCommand,
 		nodeCommand,
+		proxyCommand,
 		platformCommand,
 		upstreamCommand,
 		treeCommand,
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -14,15 +14,10 @@
 
 // Check returns Faults when a setting is not allowed.
 func (n *Node) Check() (err error) {
-	var found validator.ValidationErrors
-	if err = newValidator().Struct(n); err != nil && !errors.As(err, &found) {
+	faults, err := checkFields(n)
+	if err != nil {
 		return err
 	}
-	faults := make(Faults, 0, len(found))
-	for _, f := range found {
-		_, path, _ := strings.Cut(f.Namespace(), ".")
-		faults = append(faults, Fault{Path: path, Value: written(f.Value()), Want: wanted(f)})
-	}
 	if n.Timing.Lease < 3*n.Timing.Heartbeat {
 		faults = append(faults, Fault{
 			Path: "timing.lease", Value: n.Timing.Lease.String(),
@@ -35,6 +30,20 @@
 	return faults
 }
 
+// checkFields returns a fault for each field that its tag does not allow.
+func checkFields(target any) (faults Faults, err error) {
+	var found validator.ValidationErrors
+	if err = newValidator().Struct(target); err != nil && !errors.As(err, &found) {
+		return nil, err
+	}
+	faults = make(Faults, 0, len(found))
+	for _, f := range found {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		faults = append(faults, Fault{Path: path, Value: written(f.Value()), Want: wanted(f)})
+	}
+	return faults, nil
+}
+
 // written returns a setting as it stands in a file; one that is missing is empty.
 func written(value any) string {
 	if address, ok := value.(netip.AddrPort); ok && !address.IsValid() {
--- a/internal/conf/decode.go
+++ b/internal/conf/decode.go
@@ -24,7 +24,7 @@
 	broken bool
 }
 
-func (d *decoder) decode(data []byte, node *Node) {
+func (d *decoder) decode(data []byte, target settings) {
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		d.broken = true
@@ -37,7 +37,7 @@
 			return
 		}
 		if v.Body != nil {
-			d.value(v.Body, reflect.ValueOf(node).Elem(), "")
+			d.value(v.Body, reflect.ValueOf(target).Elem(), "")
 		}
 	}
 }
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -17,41 +17,65 @@
 // LoadWith is Load with settings that go before the file's. An error is Faults,
 // or tells why the file can't be read.
 func LoadWith(file string, override func(node *Node)) (node Node, err error) {
+	node = Default()
+	return node, load(file, &node, func() { override(&node) })
+}
+
+// LoadProxy is LoadWith for the settings of a proxy.
+func LoadProxy(file string, override func(proxy *Proxy)) (proxy Proxy, err error) {
+	proxy = DefaultProxy()
+	return proxy, load(file, &proxy, func() { override(&proxy) })
+}
+
+// settings are what a file may hold; a pointer to a struct.
+type settings interface {
+	// Check returns Faults when a setting is not allowed.
+	Check() error
+}
+
+// load reads a file into settings that hold the defaults.
+func load(file string, target settings, override func()) (err error) {
 	info, err := os.Stat(file)
 	if err != nil {
-		return node, err
+		return err
 	}
 	if info.Size() > maxFileBytes {
-		return node, fmt.Errorf("%s: file of %d bytes exceeds %d", file, info.Size(), maxFileBytes)
+		return fmt.Errorf("%s: file of %d bytes exceeds %d", file, info.Size(), maxFileBytes)
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return node, err
+		return err
 	}
-	node, err = parse(data, override)
+	err = parse(data, target, override)
 	var faults Faults
 	if errors.As(err, &faults) {
 		for i := range faults {
 			faults[i].File = file
 		}
 	}
-	return node, err
+	return err
 }
 
 // Parse reads settings from YAML and checks them.
 func Parse(data []byte) (node Node, err error) {
-	return parse(data, func(*Node) {})
+	node = Default()
+	return node, parse(data, &node, func() {})
+}
+
+// ParseProxy reads the settings of a proxy from YAML and checks them.
+func ParseProxy(data []byte) (proxy Proxy, err error) {
+	proxy = DefaultProxy()
+	return proxy, parse(data, &proxy, func() {})
 }
 
 // parse returns Faults with what can't be decoded and what is not allowed.
-func parse(data []byte, override func(node *Node)) (node Node, err error) {
-	node = Default()
+func parse(data []byte, target settings, override func()) (err error) {
 	d := decoder{positions: make(map[string]Position)}
-	d.decode(data, &node)
-	override(&node)
+	d.decode(data, target)
+	override()
 	var found Faults
-	if err = node.Check(); err != nil && !errors.As(err, &found) {
-		return node, err
+	if err = target.Check(); err != nil && !errors.As(err, &found) {
+		return err
 	}
 	for _, f := range found {
 		if d.broken || d.faults.has(f.Path) {
@@ -61,7 +85,7 @@
 		d.faults = append(d.faults, f)
 	}
 	if len(d.faults) > 0 {
-		return node, d.faults
+		return d.faults
 	}
-	return node, nil
+	return nil
 }
--- /dev/null
+++ b/internal/ctrl/feed.go
@@ -0,0 +1,204 @@
+package ctrl
+
+import (
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/talk"
+	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/fleet"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+)
+
+const (
+	// readers is how many nodes read versions and records for the others.
+	readers = 2
+	// pulseLimit is how old a reader's last fresh pulse may be before this proxy
+	// turns to the platform itself.
+	pulseLimit = 700 * time.Millisecond
+	// startWait is how long a started proxy waits for a reader's pulse first.
+	startWait = 600 * time.Millisecond
+	// readerOut is how long a reader that could not be linked is passed over.
+	readerOut = 3 * time.Second
+	// freshHold is for how long a reader must be fresh before this proxy stops
+	// reading by itself.
+	freshHold = time.Second
+	// redial is the shortest time between two dials of one reader.
+	redial = 250 * time.Millisecond
+)
+
+// feed decides who tells this proxy of versions and records: the readers that
+// it links to or, when it is one itself or none of them is fresh, the platform.
+type feed struct {
+	*cells.Proxy
+	alarm board.Alarm
+	// began is the time of the first step.
+	began time.Time
+	// fresh holds when each link last brought a pulse of a reader that reaches
+	// the platform.
+	fresh map[cells.LinkID]time.Time
+	// steady is since when some link has been fresh, zero while none is.
+	steady time.Time
+	// out holds until when a host is passed over as a reader.
+	out map[mesh.HostID]time.Time
+	// dialed holds when each reader was last dialled.
+	dialed map[mesh.HostID]time.Time
+	// wanted holds the links on which versions were asked for.
+	wanted map[cells.LinkID]bool
+	// following is true while the platform is asked for records, and reading also
+	// for versions.
+	following, reading bool
+}
+
+func newFeed(set *cells.Proxy) board.Controller {
+	f := &feed{
+		Proxy: set, fresh: make(map[cells.LinkID]time.Time), out: make(map[mesh.HostID]time.Time),
+		dialed: make(map[mesh.HostID]time.Time), wanted: make(map[cells.LinkID]bool),
+	}
+	return board.Controller{
+		Name:   "feed",
+		Reads:  []board.Ref{&set.Links, &set.Peers, &set.Roster, &f.alarm},
+		Uses:   []board.Ref{&set.Self, &set.Held},
+		Writes: []board.Ref{&set.Reading, &set.LinkOut, &set.ObjectOut, &f.alarm},
+		Step:   f.step,
+	}
+}
+
+func (f *feed) step(now time.Time) {
+	if f.began.IsZero() {
+		f.began = now
+	}
+	for _, e := range f.Links.Events() {
+		f.event(e, now)
+	}
+	roster := f.Roster.Read()
+	targets := fleet.Readers(roster.Nodes(), readers, f.isOut(now))
+	own := false
+	for _, t := range targets {
+		if t.Host == f.Self.Get().Host {
+			own = true
+			continue
+		}
+		f.link(t, now)
+	}
+	f.ask()
+	f.decide(own, roster.Loaded, now)
+}
+
+func (f *feed) event(e cells.LinkEvent, now time.Time) {
+	switch e.Kind {
+	case cells.LinkUp:
+	case cells.LinkDown:
+		delete(f.fresh, e.Link)
+		delete(f.wanted, e.Link)
+		if e.Dialed {
+			f.lost(e, now)
+		}
+	case cells.LinkMessage:
+		pulse, ok := e.Message.(talk.Pulse)
+		if ok && pulse.Reached && pulse.Version >= f.Held.Get().Plan.Version() {
+			f.fresh[e.Link] = now
+		}
+	}
+}
+
+// lost passes over the host behind a dialled link for a while.
+func (f *feed) lost(e cells.LinkEvent, now time.Time) {
+	for _, n := range f.Roster.Read().Nodes() {
+		if n.Address == e.Node {
+			f.out[n.Host] = now.Add(readerOut)
+		}
+	}
+}
+
+// isOut reports whether a host is passed over as a reader.
+func (f *feed) isOut(now time.Time) func(host mesh.HostID) bool {
+	return func(host mesh.HostID) bool {
+		until, ok := f.out[host]
+		if !ok {
+			return false
+		}
+		if now.Before(until) {
+			f.alarm.Earlier(until)
+			return true
+		}
+		delete(f.out, host)
+		return false
+	}
+}
+
+// link dials a reader that this proxy has no link to.
+func (f *feed) link(target fleet.Node, now time.Time) {
+	for _, p := range f.Peers.Read().Links() {
+		if peer := f.Peers.Read().Get(p); peer.Dialed && peer.Node == target.Address {
+			return
+		}
+	}
+	if next := f.dialed[target.Host].Add(redial); now.Before(next) {
+		f.alarm.Earlier(next)
+		return
+	}
+	f.dialed[target.Host] = now
+	f.LinkOut.Send(cells.LinkCommand{Action: cells.LinkDial, Node: target.Address})
+}
+
+// ask asks for versions and records on the links that were dialled for them.
+func (f *feed) ask() {
+	for _, p := range f.Peers.Read().Greeted() {
+		if p.Dialed && !f.wanted[p.Link] {
+			f.wanted[p.Link] = true
+			say(f.Proxy, p.Link, talk.Want{Version: f.Held.Get().Plan.Version()})
+		}
+	}
+}
+
+// decide starts or stops reading from the platform.
+func (f *feed) decide(own, loaded bool, now time.Time) {
+	newest := time.Time{}
+	for _, at := range f.fresh {
+		newest = later(newest, at)
+	}
+	fresh := !newest.IsZero() && now.Sub(newest) < pulseLimit
+	switch {
+	case !fresh:
+		f.steady = time.Time{}
+	case f.steady.IsZero():
+		f.steady = now
+	}
+	if fresh {
+		f.alarm.Earlier(newest.Add(pulseLimit))
+	}
+	reading := f.reading
+	switch {
+	case own:
+		reading = true
+	case !fresh && now.Before(f.began.Add(startWait)):
+		f.alarm.Earlier(f.began.Add(startWait))
+	case !fresh:
+		reading = true
+	case reading && now.Sub(f.steady) < freshHold:
+		f.alarm.Earlier(f.steady.Add(freshHold))
+	default:
+		reading = false
+	}
+	f.read(reading, reading || !loaded)
+}
+
+// read follows the kinds that this proxy has to read itself.
+func (f *feed) read(versions, records bool) {
+	f.follow(cells.Versions, versions, f.reading)
+	f.follow(cells.Records, records, f.following)
+	f.reading, f.following = versions, records
+	if versions != f.Reading.Get() {
+		f.Reading.Set(versions)
+	}
+}
+
+func (f *feed) follow(kind cells.ObjectKind, next, present bool) {
+	switch {
+	case next && !present:
+		f.ObjectOut.Send(cells.ObjectCommand{Action: cells.FollowObjects, Kind: kind})
+	case !next && present:
+		f.ObjectOut.Send(cells.ObjectCommand{Action: cells.LeaveObjects, Kind: kind})
+	}
+}
--- /dev/null
+++ b/internal/ctrl/guest.go
@@ -0,0 +1,137 @@
+package ctrl
+
+import (
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/fleet"
+	"arbutusstep.example/arbutusstep/pkg/member"
+)
+
+const (
+	// silentWords is how many words in a row an upstream may leave out before it
+	// counts as lost.
+	silentWords = 3
+	// admitAfterLeave is for how long the gate still admits requests after the
+	// upstream said that it leaves, so that callers' nodes hear of it first.
+	admitAfterLeave = time.Second
+	// recordWait bounds the wait for the platform before a word is acknowledged
+	// without its being recorded there.
+	recordWait = 700 * time.Millisecond
+)
+
+// guest keeps what is known of the upstream beside the proxy, and says when its
+// words may be acknowledged: one that ends new work only once it is recorded,
+// so that a later process of this proxy knows of it.
+type guest struct {
+	*cells.Proxy
+	alarm board.Alarm
+	known fleet.Guest
+	// recalled is true once an earlier process's record was taken in.
+	recalled bool
+	// waiting holds the words that wait for the record, in order.
+	waiting []waitingWord
+}
+
+// waitingWord is a word whose acknowledgement waits.
+type waitingWord struct {
+	ack     uint64
+	verdict fleet.Verdict
+	until   time.Time
+}
+
+func newGuest(set *cells.Proxy) board.Controller {
+	g := &guest{Proxy: set}
+	return board.Controller{
+		Name:   "guest",
+		Reads:  []board.Ref{&set.Words, &set.Unreachable, &set.Recorded, &g.alarm},
+		Uses:   []board.Ref{&set.Self},
+		Writes: []board.Ref{&set.Guest, &set.Acked, &set.Noted, &g.alarm},
+		Step:   g.step,
+	}
+}
+
+func (g *guest) step(now time.Time) {
+	g.recall()
+	for _, s := range g.Words.Events() {
+		g.hear(s, now)
+	}
+	for _, instance := range g.Unreachable.Events() {
+		if instance == g.known.Known().Instance {
+			g.known.Unreachable()
+		}
+	}
+	silence := silentWords * g.Self.Get().Heartbeat
+	g.known.Expire(now, silence)
+	g.publish(now)
+	g.acknowledge(now)
+	if due := g.known.Due(silence); !due.IsZero() {
+		g.alarm.Earlier(due)
+	}
+}
+
+// recall takes in, once, what an earlier process of this proxy recorded.
+func (g *guest) recall() {
+	recorded := g.Recorded.Get()
+	if g.recalled || !recorded.Known {
+		return
+	}
+	g.recalled = true
+	g.known.Recall(recorded.Node.Upstream)
+}
+
+func (g *guest) hear(s cells.Spoken, now time.Time) {
+	verdict := g.known.Hear(now, s.Word)
+	known := g.known.Known()
+	if verdict != fleet.Renewed {
+		g.Noted.Send(cells.Note{Event: "upstreamWord", Fields: []cells.Field{
+			{Name: "verdict", Value: verdict.String()}, {Name: "instance", Value: s.Word.Instance},
+			{Name: "born", Value: s.Word.Born}, {Name: "sequence", Value: s.Word.Sequence},
+			{Name: "said", Value: s.Word.State.String()}, {Name: "farewell", Value: s.Word.Farewell},
+			{Name: "knownInstance", Value: known.Instance}, {Name: "knownSequence", Value: known.Sequence},
+			{Name: "state", Value: known.State.String()}, {Name: "service", Value: string(known.Service)},
+		}})
+	}
+	if verdict == fleet.Stale || !leaves(known.State) {
+		g.Acked.Send(cells.Ack{Ack: s.Ack, Verdict: verdict, Recorded: true})
+		return
+	}
+	g.waiting = append(g.waiting, waitingWord{ack: s.Ack, verdict: verdict, until: now.Add(recordWait)})
+}
+
+// leaves reports whether the state ends new work for good.
+func leaves(state member.State) bool {
+	return state == member.Draining || state == member.Left
+}
+
+// publish brings the cell up to date. The gate closes some time after a word
+// that ends new work.
+func (g *guest) publish(now time.Time) {
+	old, next := g.Guest.Get(), cells.Guest{Upstream: g.known.Known()}
+	if leaves(next.State) {
+		next.AdmitUntil = old.AdmitUntil
+		if next.AdmitUntil.IsZero() || old.Instance != next.Instance || !old.Born.Equal(next.Born) {
+			next.AdmitUntil = now.Add(admitAfterLeave)
+		}
+	}
+	if next != old {
+		g.Guest.Set(next)
+	}
+}
+
+// acknowledge answers the words that are recorded, or have waited too long.
+func (g *guest) acknowledge(now time.Time) {
+	recorded, known := g.Recorded.Get().Node.Upstream, g.known.Known()
+	done := recorded.Instance == known.Instance && recorded.Born.Equal(known.Born) && recorded.State == known.State
+	kept := g.waiting[:0]
+	for _, w := range g.waiting {
+		if !done && now.Before(w.until) {
+			kept = append(kept, w)
+			g.alarm.Earlier(w.until)
+			continue
+		}
+		g.Acked.Send(cells.Ack{Ack: w.ack, Verdict: w.verdict, Recorded: done})
+	}
+	g.waiting = kept
+}
--- a/internal/ctrl/journal.go
+++ b/internal/ctrl/journal.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"strconv"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
@@ -55,17 +54,17 @@
 func (j *journal) noteRole() {
 	if slot := j.Slot.Get(); slot != j.slot {
 		j.slot = slot
-		j.note("relay", cells.Field{Name: "held", Value: strconv.FormatBool(slot.Held)},
-			cells.Field{Name: "slot", Value: strconv.Itoa(slot.Number)})
+		j.note("relay", cells.Field{Name: "held", Value: slot.Held},
+			cells.Field{Name: "slot", Value: slot.Number})
 	}
 	uplinks := j.Uplinks.Get()
 	if uplinks.Lead != j.lead {
 		j.lead = uplinks.Lead
-		j.note("lead", cells.Field{Name: "lead", Value: strconv.FormatBool(j.lead)})
+		j.note("lead", cells.Field{Name: "lead", Value: j.lead})
 	}
 	if uplinks.Served != j.served {
 		j.served = uplinks.Served
-		j.note("served", cells.Field{Name: "served", Value: strconv.FormatBool(j.served)})
+		j.note("served", cells.Field{Name: "served", Value: j.served})
 	}
 }
 
@@ -85,5 +84,5 @@
 }
 
 func versionField(version mesh.Version) cells.Field {
-	return cells.Field{Name: "version", Value: strconv.FormatUint(uint64(version), 10)}
+	return cells.Field{Name: "version", Value: uint64(version)}
 }
--- /dev/null
+++ b/internal/ctrl/meet.go
@@ -0,0 +1,69 @@
+package ctrl
+
+import (
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/talk"
+	"arbutusstep.example/arbutusstep/pkg/board"
+)
+
+// meet greets the far end of each link and keeps Peers.
+type meet struct {
+	*cells.Proxy
+}
+
+func newMeet(set *cells.Proxy) board.Controller {
+	m := &meet{Proxy: set}
+	return board.Controller{
+		Name:   "meet",
+		Reads:  []board.Ref{&set.Links},
+		Uses:   []board.Ref{&set.Self},
+		Writes: []board.Ref{&set.Peers, &set.LinkOut},
+		Step:   m.step,
+	}
+}
+
+func (m *meet) step(time.Time) {
+	for _, e := range m.Links.Events() {
+		switch e.Kind {
+		case cells.LinkUp:
+			m.Peers.Change().Put(&cells.Peer{Link: e.Link, Dialed: e.Dialed, Node: e.Node})
+			if e.Dialed {
+				say(m.Proxy, e.Link, m.hello())
+			}
+		case cells.LinkDown:
+			m.Peers.Change().Remove(e.Link)
+		case cells.LinkMessage:
+			if hello, ok := e.Message.(talk.Hello); ok {
+				m.greeted(e.Link, hello)
+			}
+		}
+	}
+}
+
+// greeted notes who the far end is and answers an accepted link's greeting.
+func (m *meet) greeted(link cells.LinkID, hello talk.Hello) {
+	old := m.Peers.Read().Get(link)
+	if old == nil {
+		return
+	}
+	if hello.Protocol != talk.Protocol || hello.Host == m.Self.Get().Host {
+		m.LinkOut.Send(cells.LinkCommand{Action: cells.LinkClose, Link: link})
+		return
+	}
+	if !old.Dialed && !old.Greeted() {
+		say(m.Proxy, link, m.hello())
+	}
+	peer := *old
+	peer.Hello = hello
+	m.Peers.Change().Put(&peer)
+}
+
+func (m *meet) hello() talk.Hello {
+	self := m.Self.Get()
+	return talk.Hello{
+		Host: self.Host, Place: self.Place, Node: self.Node,
+		Incarnation: uint64(self.Started.UnixNano()), Protocol: talk.Protocol,
+	}
+}
--- /dev/null
+++ b/internal/ctrl/record.go
@@ -0,0 +1,121 @@
+package ctrl
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/fleet"
+	"arbutusstep.example/arbutusstep/pkg/relay"
+)
+
+const (
+	// putFirst and putLongest bound the jittered wait before a write that failed
+	// is tried again.
+	putFirst   = 50 * time.Millisecond
+	putLongest = 500 * time.Millisecond
+	// firstWordWait is how long a restarted proxy waits for its upstream's word
+	// before it replaces the record of the process before.
+	firstWordWait = 2 * time.Second
+)
+
+// record keeps this proxy's record in the platform as it should be, and writes
+// it again when it is missing there.
+type record struct {
+	*cells.Proxy
+	alarm   board.Alarm
+	backoff relay.Backoff
+	// writing is true while a write is underway.
+	writing bool
+	// retryAt is when a failed write is tried again.
+	retryAt time.Time
+}
+
+func newRecord(set *cells.Proxy, source rand.Source) board.Controller {
+	r := &record{Proxy: set, backoff: relay.Backoff{First: putFirst, Longest: putLongest, Source: source}}
+	return board.Controller{
+		Name:   "record",
+		Reads:  []board.Ref{&set.Objects, &set.Roster, &set.Guest, &set.Phase, &set.Reached, &r.alarm},
+		Uses:   []board.Ref{&set.Self},
+		Writes: []board.Ref{&set.Recorded, &set.ObjectOut, &r.alarm},
+		Step:   r.step,
+	}
+}
+
+func (r *record) step(now time.Time) {
+	for _, e := range r.Objects.Events() {
+		if e.Action == cells.PutRecord {
+			r.written(e, now)
+		}
+	}
+	roster := r.Roster.Read()
+	if !roster.Loaded {
+		return
+	}
+	entry, found := roster.Get(r.Self.Get().Host)
+	recorded := cells.Recorded{Known: true, Node: entry.Node, Version: entry.Version}
+	if recorded != r.Recorded.Get() {
+		r.Recorded.Set(recorded)
+	}
+	r.write(entry, found, now)
+}
+
+func (r *record) written(e cells.ObjectEvent, now time.Time) {
+	r.writing = false
+	if e.Result == cells.StoreDone || e.Result == cells.StoreConflict && e.Current.Version > 0 {
+		r.backoff.Reset()
+		r.retryAt = time.Time{}
+		return
+	}
+	r.retryAt = now.Add(r.backoff.Next())
+}
+
+// write brings the record up to date when it is not.
+func (r *record) write(entry cells.RosterEntry, found bool, now time.Time) {
+	want := r.want()
+	if r.writing || found && sameRecord(entry.Node, want) {
+		return
+	}
+	wait := r.retryAt
+	if found && r.Guest.Get().Instance == "" && !want.Leaving {
+		wait = later(wait, r.Self.Get().Started.Add(firstWordWait))
+	}
+	if now.Before(wait) {
+		r.alarm.Earlier(wait)
+		return
+	}
+	r.writing = true
+	r.ObjectOut.Send(cells.ObjectCommand{
+		Action: cells.PutRecord, Kind: cells.Records, Host: want.Host, Node: want, Version: entry.Version,
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// want returns the record as it should be.
+func (r *record) want() fleet.Node {
+	self := r.Self.Get()
+	return fleet.Node{
+		Host: self.Host, Place: self.Place, Address: self.Node, Trip: r.Reached.Get().Trip,
+		Leaving: r.Phase.Get() == cells.Draining || r.Phase.Get() == cells.Stopped, Upstream: r.Guest.Get().Upstream,
+	}
+}
+
+// sameRecord reports whether a record needs no new write. What changes all the
+// time, and the exact trip, is no reason for one.
+func sameRecord(a, b fleet.Node) bool {
+	if a.Trip > 0 {
+		b.Trip = a.Trip
+	}
+	b.Upstream.Sequence, b.Upstream.Cold = a.Upstream.Sequence, a.Upstream.Cold
+	if a.Upstream.Born.Equal(b.Upstream.Born) {
+		b.Upstream.Born = a.Upstream.Born
+	}
+	return a == b
+}
--- /dev/null
+++ b/internal/ctrl/take.go
@@ -0,0 +1,105 @@
+package ctrl
+
+import (
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/talk"
+	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+)
+
+// versionsName is the name of the object that holds the operator's document.
+const versionsName = "main"
+
+// take puts the newest version in force, from the platform or from a reader. A
+// version that can't be read is refused as a whole, and none is ever put in
+// force after a higher one.
+type take struct {
+	*cells.Proxy
+	forms Forms
+}
+
+func newTake(set *cells.Proxy, forms Forms) board.Controller {
+	t := &take{Proxy: set, forms: forms}
+	return board.Controller{
+		Name:   "take",
+		Reads:  []board.Ref{&set.Objects, &set.Links},
+		Uses:   []board.Ref{&set.Peers},
+		Writes: []board.Ref{&set.Held, &set.LinkOut, &set.Noted},
+		Step:   t.step,
+	}
+}
+
+func (t *take) step(now time.Time) {
+	for _, e := range t.Objects.Events() {
+		if e.Kind != cells.Versions || e.Result != cells.StoreDone {
+			continue
+		}
+		for _, o := range e.Objects {
+			if o.Name == versionsName && !o.Deleted {
+				t.offer(o.Value, "", now)
+			}
+		}
+	}
+	for _, e := range t.Links.Events() {
+		if m, ok := e.Message.(talk.Document); ok {
+			t.passedOn(e.Link, m, now)
+		}
+	}
+}
+
+// passedOn unpacks what a reader sent, or asks for it whole.
+func (t *take) passedOn(link cells.LinkID, m talk.Document, now time.Time) {
+	held := t.Held.Get()
+	if m.Version <= held.Plan.Version() {
+		return
+	}
+	var base []byte
+	if m.Base != 0 {
+		base = held.Data
+	}
+	data, err := t.forms.Unpack(m.Packed, base)
+	if m.Base != 0 && m.Base != held.Plan.Version() || err != nil {
+		t.note("versionUnpackFailed", m.Version, t.host(link), err)
+		say(t.Proxy, link, talk.Want{})
+		return
+	}
+	t.offer(data, t.host(link), now)
+}
+
+func (t *take) host(link cells.LinkID) mesh.HostID {
+	if p := t.Peers.Read().Get(link); p != nil {
+		return p.Hello.Host
+	}
+	return ""
+}
+
+// offer puts a document in force if it is newer than what is.
+func (t *take) offer(data []byte, from mesh.HostID, now time.Time) {
+	held := t.Held.Get()
+	made, err := t.forms.ReadPlan(data)
+	if err != nil {
+		if held.Reason != err.Error() {
+			held.Reason = err.Error()
+			t.Held.Set(held)
+			t.note("versionRefused", 0, from, err)
+		}
+		return
+	}
+	if made.Version() <= held.Plan.Version() {
+		return
+	}
+	t.Held.Set(cells.Held{Plan: made, Data: data, Since: now, From: from})
+	t.Noted.Send(cells.Note{Event: "versionInForce", Fields: []cells.Field{
+		{Name: "version", Value: uint64(made.Version())}, {Name: "before", Value: uint64(held.Plan.Version())},
+		{Name: "from", Value: string(from)}, {Name: "bytes", Value: len(data)}, {Name: "rules", Value: len(made.Rules())},
+	}})
+}
+
+func (t *take) note(event string, version mesh.Version, from mesh.HostID, err error) {
+	t.Noted.Send(cells.Note{Event: event, Fields: []cells.Field{
+		{Name: "version", Value: uint64(version)}, {Name: "inForce", Value: uint64(t.Held.Get().Plan.Version())},
+		{Name: "from", Value: string(from)}, {Name: "reason", Value: textOf(err)},
+	}})
+}
--- /dev/null
+++ b/internal/depot/depot.go
@@ -0,0 +1,232 @@
+// Package depot carries out what a proxy's controllers ask of the platform's
+// objects: it lists, follows, writes and removes them, and posts the answers.
+package depot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/sheet"
+	"arbutusstep.example/arbutusstep/internal/store"
+)
+
+const (
+	// retryFirst and retryLongest bound the jittered wait after a failed call.
+	retryFirst   = 50 * time.Millisecond
+	retryLongest = time.Second
+	// writeTime bounds one write.
+	writeTime = 700 * time.Millisecond
+	// listTime bounds one list.
+	listTime = 1500 * time.Millisecond
+)
+
+// Objects is what this package asks of the platform.
+type Objects interface {
+	List(ctx context.Context, prefix string) ([]store.Object, uint64, error)
+	Watch(ctx context.Context, prefix string, from uint64) ([]store.Event, uint64, error)
+	Create(ctx context.Context, key string, value []byte) (store.Object, error)
+	Update(ctx context.Context, key string, value []byte, version uint64) (store.Object, error)
+	Delete(ctx context.Context, key string, version uint64) error
+}
+
+// Poster takes the platform's answers to the control thread.
+type Poster interface {
+	Post(event cells.ObjectEvent) (posted bool)
+}
+
+// Kinds are the names of the kinds in the platform.
+type Kinds struct {
+	Versions, Records string
+}
+
+// Driver carries out the controllers' commands. It is made by New.
+type Driver struct {
+	objects Objects
+	events  Poster
+	kinds   Kinds
+	// trip returns the time that connections to the platform take.
+	trip    func() time.Duration
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	// leave ends what is followed, by kind; control thread only.
+	leave map[cells.ObjectKind]context.CancelFunc
+}
+
+// New returns a driver that runs until Close.
+func New(objects Objects, events Poster, kinds Kinds, trip func() time.Duration) *Driver {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Driver{
+		objects: objects, events: events, kinds: kinds, trip: trip, ctx: ctx, cancel: cancel,
+		leave: make(map[cells.ObjectKind]context.CancelFunc),
+	}
+}
+
+// Close ends what is underway and waits for it.
+func (d *Driver) Close() {
+	d.cancel()
+	d.running.Wait()
+}
+
+// Handle starts one command; it does not block.
+func (d *Driver) Handle(command cells.ObjectCommand) {
+	switch command.Action {
+	case cells.FollowObjects:
+		d.stop(command.Kind)
+		ctx, cancel := context.WithCancel(d.ctx)
+		d.leave[command.Kind] = cancel
+		d.running.Go(func() { d.follow(ctx, command.Kind) })
+	case cells.LeaveObjects:
+		d.stop(command.Kind)
+	default:
+		d.running.Go(func() { d.write(command) })
+	}
+}
+
+func (d *Driver) stop(kind cells.ObjectKind) {
+	if cancel := d.leave[kind]; cancel != nil {
+		cancel()
+		delete(d.leave, kind)
+	}
+}
+
+func (d *Driver) post(event cells.ObjectEvent) {
+	event.Trip = d.trip()
+	d.events.Post(event)
+}
+
+func (d *Driver) prefix(kind cells.ObjectKind) string {
+	if kind == cells.Versions {
+		return d.kinds.Versions + "/"
+	}
+	return d.kinds.Records + "/"
+}
+
+// follow tells the objects of a kind and their changes until the context ends.
+func (d *Driver) follow(ctx context.Context, kind cells.ObjectKind) {
+	backoff := store.Backoff{Base: retryFirst, Max: retryLongest}
+	from, listed := uint64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			from, err = d.list(ctx, kind)
+			listed = err == nil
+		} else {
+			from, err = d.watch(ctx, kind, from)
+		}
+		if err == nil {
+			backoff.Reset()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, store.ErrGone) {
+			listed = false
+			continue
+		}
+		d.post(cells.ObjectEvent{Action: cells.FollowObjects, Kind: kind, Result: resultOf(err), Err: err})
+		// The context's end shows at the loop's head.
+		_ = backoff.Wait(ctx)
+	}
+}
+
+// list tells every object of a kind.
+func (d *Driver) list(ctx context.Context, kind cells.ObjectKind) (revision uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	objects, revision, err := d.objects.List(ctx, d.prefix(kind))
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return 0, err
+	}
+	event := cells.ObjectEvent{Action: cells.FollowObjects, Kind: kind, Whole: true, Revision: revision}
+	for _, o := range objects {
+		event.Objects = append(event.Objects, objectOf(o, false))
+	}
+	d.post(event)
+	return revision, nil
+}
+
+// watch tells the next changes of a kind.
+func (d *Driver) watch(ctx context.Context, kind cells.ObjectKind, from uint64) (next uint64, err error) {
+	changes, next, err := d.objects.Watch(ctx, d.prefix(kind), from)
+	if err != nil {
+		return from, err
+	}
+	event := cells.ObjectEvent{Action: cells.FollowObjects, Kind: kind, Revision: next}
+	for _, c := range changes {
+		event.Objects = append(event.Objects, objectOf(c.Object, c.Deleted))
+	}
+	d.post(event)
+	return next, nil
+}
+
+func objectOf(o store.Object, deleted bool) cells.Object {
+	return cells.Object{Name: o.Key[strings.IndexByte(o.Key, '/')+1:], Value: o.Value, Version: o.Version, Deleted: deleted}
+}
+
+// write carries out one write and tells how it ended.
+func (d *Driver) write(command cells.ObjectCommand) {
+	ctx, cancel := context.WithTimeout(d.ctx, writeTime)
+	defer cancel()
+	event := cells.ObjectEvent{Action: command.Action, Kind: command.Kind, Command: command}
+	current, err := d.carryOut(ctx, command)
+	event.Current = current
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(err, &conflict) && conflict.Known:
+		event.Current = objectOf(conflict.Current, false)
+	case errors.Is(err, store.ErrNotFound):
+		event.Current = cells.Object{Name: string(command.Host), Version: max(1, command.Version), Deleted: true}
+	}
+	event.Result, event.Err = resultOf(err), err
+	d.post(event)
+}
+
+func (d *Driver) carryOut(ctx context.Context, command cells.ObjectCommand) (current cells.Object, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("write record of %s: %w", command.Host, err)
+		}
+	}()
+	key := d.prefix(command.Kind) + string(command.Host)
+	if command.Action == cells.DropRecord {
+		if err = d.objects.Delete(ctx, key, command.Version); err != nil {
+			return current, err
+		}
+		return cells.Object{Name: string(command.Host), Version: command.Version, Deleted: true}, nil
+	}
+	value, err := sheet.EncodeNode(command.Node)
+	if err != nil {
+		return current, err
+	}
+	var written store.Object
+	if command.Version == 0 {
+		written, err = d.objects.Create(store.Urgent(ctx), key, value)
+	} else {
+		written, err = d.objects.Update(store.Urgent(ctx), key, value, command.Version)
+	}
+	if err != nil {
+		return current, err
+	}
+	return objectOf(written, false), nil
+}
+
+// resultOf sorts an error by what it says of a call's effect.
+func resultOf(err error) cells.StoreResult {
+	switch {
+	case err == nil:
+		return cells.StoreDone
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
+		return cells.StoreConflict
+	case errors.Is(err, store.ErrUnknown):
+		return cells.StoreUnknown
+	default:
+		return cells.StoreFailed
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -303,7 +303,7 @@
 func (n *Node) noted(note cells.Note) {
 	event := n.logger.Info()
 	for _, f := range note.Fields {
-		event = event.Str(f.Name, f.Value)
+		event = event.Interface(f.Name, f.Value)
 	}
 	event.Msg(note.Event)
 }
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,343 @@
+// Package proxy joins the parts of one proxy: the blackboard with its control
+// thread, the drivers that carry out its commands, and the threads of traffic.
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/rs/zerolog"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/conf"
+	"arbutusstep.example/arbutusstep/internal/ctrl"
+	"arbutusstep.example/arbutusstep/internal/depot"
+	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/httpd"
+	"arbutusstep.example/arbutusstep/internal/links"
+	"arbutusstep.example/arbutusstep/internal/meter"
+	"arbutusstep.example/arbutusstep/internal/pack"
+	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/serve"
+	"arbutusstep.example/arbutusstep/internal/sheet"
+	"arbutusstep.example/arbutusstep/internal/sock"
+	"arbutusstep.example/arbutusstep/internal/steer"
+	"arbutusstep.example/arbutusstep/internal/store"
+	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/fleet"
+	"arbutusstep.example/arbutusstep/pkg/gate"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/retry"
+)
+
+const (
+	// silence is for how long a connection may leave what was sent unacknowledged.
+	silence = 1500 * time.Millisecond
+	// platformTimeout bounds one call to the platform other than a watch.
+	platformTimeout = 1500 * time.Millisecond
+	// watchWait is how long the platform may hold a watch without news.
+	watchWait = 10 * time.Second
+	// platformBurst is how many calls to the platform may be made at once.
+	platformBurst = 40
+	// dialTimeout bounds a dial to another proxy.
+	dialTimeout = 500 * time.Millisecond
+)
+
+// Headers is how requests and answers are marked on both sides of the mesh.
+type Headers interface {
+	steer.Form
+	serve.Form
+}
+
+// Words is how the upstream beside a proxy speaks of itself.
+type Words interface {
+	// Path begins the paths on which it speaks; the name of the lifetime follows.
+	Path() string
+	Announcement(instance string, data []byte) (fleet.Word, error)
+	Farewell(instance string, data []byte) (fleet.Word, error)
+}
+
+// Platform is how a proxy speaks with the platform that it runs on.
+type Platform struct {
+	Objects store.Form
+	// Versions and Records are the kinds of objects that hold the operator's
+	// document and the nodes' records.
+	Versions, Records string
+	ReadPlan          func(data []byte) (*plan.Plan, error)
+	Headers           Headers
+	Words             Words
+}
+
+// Proxy is one running proxy. It is made by Start.
+type Proxy struct {
+	// settings may be replaced while it runs.
+	settings atomic.Pointer[conf.Proxy]
+	platform Platform
+	logger   zerolog.Logger
+	started  time.Time
+
+	cells cells.Proxy
+	board board.Board
+
+	store *store.Client
+	depot *depot.Driver
+	trip  trips
+	pool  peer.Pool
+	peers peer.Server
+	links *links.Driver
+
+	gate    gate.Gate
+	handler serve.Handler
+	steerer steer.Steerer
+	front   front.Front
+	metrics *meter.Meter
+	ends    recorder
+	words   words
+	ready   readiness
+
+	nodes   net.Listener
+	callers net.Listener
+	entry   *server.Hertz
+	admin   *httpd.Server
+	asked   *httpd.Server
+
+	stopControl context.CancelFunc
+	running     sync.WaitGroup
+}
+
+// Start starts a proxy by its settings, which must be checked. Ports that are
+// zero are chosen, and told by the address methods.
+func Start(settings conf.Proxy, platform Platform, logger zerolog.Logger) (started *Proxy, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start proxy %s: %w", settings.Host, err)
+		}
+	}()
+	p := &Proxy{platform: platform, logger: logger, started: time.Now()}
+	p.settings.Store(&settings)
+	if err = p.listen(); err != nil {
+		return nil, errors.Join(err, p.closeListeners())
+	}
+	p.connect()
+	p.startControl()
+	p.startTraffic()
+	if err = p.startServers(); err != nil {
+		return nil, errors.Join(err, p.Stop(context.Background()))
+	}
+	return p, nil
+}
+
+func (p *Proxy) listen() (err error) {
+	listen := p.settings.Load().Listen
+	dialer := sock.Dialer{Silence: silence}
+	if p.nodes, err = dialer.Listen(context.Background(), listen.Nodes); err != nil {
+		return err
+	}
+	p.callers, err = dialer.Listen(context.Background(), listen.Callers)
+	return err
+}
+
+func (p *Proxy) closeListeners() (err error) {
+	for _, l := range []net.Listener{p.nodes, p.callers} {
+		if l != nil {
+			err = errors.Join(err, l.Close())
+		}
+	}
+	return err
+}
+
+// connect makes the parts that reach the platform and other proxies.
+func (p *Proxy) connect() {
+	settings := p.settings.Load()
+	p.metrics = meter.New(map[string]string{"host": string(settings.Host), "zone": string(settings.Zone)})
+	p.trip.dialer = sock.Dialer{Silence: silence}
+	p.store = store.New(store.Options{
+		Address: settings.Platform, Host: settings.Host, Form: p.platform.Objects, Dialer: &p.trip,
+		Timeout: platformTimeout, Wait: watchWait,
+		Budget: &store.Budget{Rate: settings.Limits.PlatformRate, Burst: platformBurst},
+	})
+	kinds := depot.Kinds{Versions: p.platform.Versions, Records: p.platform.Records}
+	p.depot = depot.New(p.store, &p.cells.Objects, kinds, p.trip.shortest)
+	p.pool.Dialer = sock.Dialer{Silence: silence}
+	p.pool.DialTimeout = dialTimeout
+	p.links = links.NewDriver(&p.pool, &p.cells.Links)
+	p.handler.Gate, p.handler.Form = &p.gate, p.platform.Headers
+	p.handler.Unreachable = p.unreachable
+	p.peers.Calls, p.peers.Controls = &p.handler, p.links
+}
+
+// startControl puts the controllers on the board and starts the control thread.
+func (p *Proxy) startControl() {
+	settings := p.settings.Load()
+	p.cells.Self.Set(cells.ProxySelf{
+		Host: settings.Host, Place: p.place(), Node: addressOf(p.nodes), Started: p.started, Heartbeat: settings.Heartbeat,
+	})
+	p.cells.LinkOut.Handle = p.links.Handle
+	p.cells.ObjectOut.Handle = p.depot.Handle
+	p.cells.Acked.Handle = p.words.acked
+	p.cells.Published.Handle = p.published
+	p.cells.Noted.Handle = p.noted
+	p.cells.Ticked.Handle = p.collect
+	ctrl.AddProxy(&p.board, &p.cells, forms{p.platform.ReadPlan}, rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stopControl = cancel
+	p.running.Go(func() { p.board.Run(ctx) })
+}
+
+// startTraffic serves other proxies and callers.
+func (p *Proxy) startTraffic() {
+	settings := p.settings.Load()
+	p.ends = recorder{logger: p.logger, metrics: p.metrics.Scope}
+	p.ends.start()
+	p.steerer.View, p.steerer.Caller, p.steerer.Local = view{&p.cells}, &p.pool, &peer.Local{Handler: &p.handler}
+	p.steerer.Form, p.steerer.Recorder = p.platform.Headers, &p.ends
+	p.steerer.Host, p.steerer.Place = settings.Host, p.place()
+	p.steerer.Service = func() mesh.Service { return p.settings.Load().Service }
+	p.steerer.Budget.Configure(allowanceOf(settings))
+	p.front.Handler, p.front.Leaving = &p.steerer, p.leaving
+	p.front.Limits = func() front.Limits {
+		l := p.cells.Traffic.Load().Plan.Limits()
+		return front.Limits{Header: l.Header, Body: l.Body, HeaderTime: l.HeaderTime, IdleTime: l.IdleTime}
+	}
+	p.entry = p.front.NewServer(p.callers)
+	p.running.Go(func() { p.report("callers", p.entry.Run()) })
+	p.running.Go(func() { p.report("nodes", p.peers.Serve(p.nodes)) })
+}
+
+func allowanceOf(settings *conf.Proxy) retry.Allowance {
+	return retry.Allowance{Span: settings.Repeats.Span, Ratio: settings.Repeats.Ratio, Slack: settings.Repeats.Slack}
+}
+
+func (p *Proxy) startServers() (err error) {
+	listen := p.settings.Load().Listen
+	p.words.post, p.words.form, p.words.logger, p.words.known = p.cells.Words.Post, p.platform.Words, p.logger, p.knows
+	if p.admin, err = httpd.Start(listen.Admin, p.adminRoutes, server.WithMaxRequestBodySize(maxWord)); err != nil {
+		return err
+	}
+	p.asked, err = httpd.Start(listen.Ready, p.readyRoutes)
+	return err
+}
+
+// report logs an error that ended a server.
+func (p *Proxy) report(name string, err error) {
+	if err != nil {
+		p.logger.Error().Str("server", name).Err(err).Msg("serverEnded")
+	}
+}
+
+func (p *Proxy) place() mesh.Place {
+	settings := p.settings.Load()
+	return mesh.Place{Region: settings.Region, Zone: settings.Zone}
+}
+
+// leaving reports whether the proxy tells everyone that it leaves.
+func (p *Proxy) leaving() bool {
+	phase := p.cells.Phase.Load()
+	return phase == cells.Draining || phase == cells.Stopped
+}
+
+// Addresses are those that the proxy listens on.
+type Addresses struct {
+	Callers, Nodes, Admin, Ready netip.AddrPort
+}
+
+// Addresses returns where the proxy listens.
+func (p *Proxy) Addresses() Addresses {
+	return Addresses{Callers: addressOf(p.callers), Nodes: addressOf(p.nodes), Admin: p.admin.Addr(), Ready: p.asked.Addr()}
+}
+
+func addressOf(listener net.Listener) (address netip.AddrPort) {
+	if tcp, ok := listener.Addr().(*net.TCPAddr); ok {
+		address = tcp.AddrPort()
+	}
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
+
+// noted logs a change of state.
+func (p *Proxy) noted(note cells.Note) {
+	event := p.logger.Info()
+	for _, f := range note.Fields {
+		switch v := f.Value.(type) {
+		case time.Time:
+			event = event.Time(f.Name, v)
+		case time.Duration:
+			event = event.Dur(f.Name, v)
+		default:
+			event = event.Interface(f.Name, v)
+		}
+	}
+	event.Msg(note.Event)
+}
+
+// WriteMetrics writes the metrics as text.
+func (p *Proxy) WriteMetrics(w io.Writer) error {
+	return p.metrics.Write(w)
+}
+
+// view gives traffic threads the snapshot of the board.
+type view struct{ cells *cells.Proxy }
+
+// Traffic implements steer.View.
+func (v view) Traffic() cells.ProxyTraffic {
+	return v.cells.Traffic.Load()
+}
+
+// forms reads and packs what travels.
+type forms struct {
+	readPlan func(data []byte) (*plan.Plan, error)
+}
+
+// ReadPlan implements ctrl.Forms.
+func (f forms) ReadPlan(data []byte) (*plan.Plan, error) { return f.readPlan(data) }
+
+// ReadNode implements ctrl.Forms.
+func (f forms) ReadNode(data []byte) (fleet.Node, error) { return sheet.DecodeNode(data) }
+
+// Pack implements ctrl.Forms.
+func (f forms) Pack(data, base []byte) ([]byte, error) { return pack.Pack(data, base) }
+
+// Unpack implements ctrl.Forms.
+func (f forms) Unpack(packed, base []byte) ([]byte, error) { return pack.Unpack(packed, base) }
+
+// trips dials the platform and keeps the shortest time that it took.
+type trips struct {
+	dialer sock.Dialer
+	// least is in nanoseconds, zero before the first.
+	least atomic.Int64
+}
+
+// Dial implements store.Dialer.
+func (t *trips) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
+	start := time.Now()
+	if conn, err = t.dialer.Dial(ctx, address); err != nil {
+		return nil, err
+	}
+	took := int64(time.Since(start))
+	if least := t.least.Load(); least == 0 || took < least {
+		t.least.Store(took)
+	}
+	return conn, nil
+}
+
+func (t *trips) shortest() time.Duration {
+	return time.Duration(t.least.Load())
+}
+
+// statusOf returns the status that tells whether something holds.
+func statusOf(holds bool) int {
+	if holds {
+		return http.StatusOK
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/proxy/record.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"arbutusstep.example/arbutusstep/internal/steer"
+)
+
+const (
+	// plainEvery is how many requests that went well at the first upstream come to
+	// one line in the log.
+	plainEvery = 64
+	// linesPerSecond bounds the lines on requests.
+	linesPerSecond = 200
+)
+
+// latencies are the upper bounds of the histogram's buckets.
+var latencies = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second,
+	2 * time.Second, 5 * time.Second,
+}
+
+// recorder counts the ends of requests and logs those that tell something: each
+// that did not go well at the first upstream, and a few of the rest.
+type recorder struct {
+	logger  zerolog.Logger
+	metrics tally.Scope
+	// answered, refused and failed take the latencies of requests by their end.
+	answered, refused, failed tally.Histogram
+	plain                     atomic.Uint64
+	// second is the Unix second that lines were last counted in, and lines how many
+	// it had.
+	second, lines atomic.Int64
+	// skipped counts the lines that the bound left out.
+	skipped atomic.Uint64
+}
+
+func (r *recorder) start() {
+	histogram := func(outcome string) tally.Histogram {
+		return r.metrics.Tagged(map[string]string{"outcome": outcome}).Histogram("request_seconds", latencies)
+	}
+	r.answered, r.refused, r.failed = histogram("answered"), histogram("refused"), histogram("failed")
+}
+
+// Record implements steer.Recorder.
+func (r *recorder) Record(end steer.End) {
+	switch {
+	case end.Reason == "":
+		r.answered.RecordDuration(end.Took)
+	case end.Status == 502 || end.Status == 504:
+		r.failed.RecordDuration(end.Took)
+	default:
+		r.refused.RecordDuration(end.Took)
+	}
+	plain := end.Reason == "" && end.Status < 500 && len(end.Attempts) == 1 && !end.Gone
+	if plain && r.plain.Add(1)%plainEvery != 0 || !r.admit() {
+		return
+	}
+	r.log(end)
+}
+
+// admit bounds the lines a second and counts those that are left out.
+func (r *recorder) admit() bool {
+	second := time.Now().Unix()
+	if old := r.second.Swap(second); old != second {
+		r.lines.Store(0)
+	}
+	if r.lines.Add(1) > linesPerSecond {
+		r.skipped.Add(1)
+		return false
+	}
+	return true
+}
+
+func (r *recorder) log(end steer.End) {
+	attempts := zerolog.Arr()
+	for _, a := range end.Attempts {
+		attempts = attempts.Dict(zerolog.Dict().Str("host", string(a.Host)).Str("outcome", a.Outcome).Str("reason", a.Reason).
+			Int("status", a.Status).Dur("took", a.Took).Dur("atNode", a.AtNode).Dur("work", a.Work))
+	}
+	r.logger.Info().Str("id", end.ID).Str("method", end.Method).Str("for", end.Host).Str("path", end.Path).
+		Uint64("version", uint64(end.Version)).Str("rule", end.Rule).Str("service", string(end.Service)).Int("rank", end.Rank).
+		Dur("allowed", end.Allowed).Dur("took", end.Took).Int("status", end.Status).Str("reason", end.Reason).
+		Dur("retryAfter", end.RetryAfter).Bool("gone", end.Gone).Int("attemptCount", len(end.Attempts)).
+		Array("attempts", attempts).Msg("request")
+}
--- /dev/null
+++ b/internal/proxy/stop.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/httpd"
+)
+
+const (
+	// leaveShare is the part of the time for a stop after which the proxy takes no
+	// more requests, in percent.
+	leaveShare = 80
+	// endShare is the part of the time for a stop after which what runs is cut, in
+	// percent.
+	endShare = 95
+	// missesToLeave is after how many answers that it is not ready the platform
+	// sends the proxy no new work.
+	missesToLeave = 2
+	// quietTime is how long nothing may run before the proxy ends early.
+	quietTime = 700 * time.Millisecond
+	// stopStep is the time between two looks at what runs.
+	stopStep = 50 * time.Millisecond
+)
+
+// Leave tells everyone that the proxy leaves, and serves on until nobody sends
+// it work any more or the time for that is over.
+func (p *Proxy) Leave() {
+	begun := time.Now()
+	p.cells.Ordered.Post(cells.Drain)
+	last := begun.Add(p.settings.Load().Stop * leaveShare / 100)
+	busy := begun
+	ticker := time.NewTicker(stopStep)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if p.front.Busy() > 0 || p.gate.Load().Running > 0 || p.ready.missed.Load() < missesToLeave {
+			busy = now
+		}
+		if now.Sub(busy) >= quietTime || now.After(last) {
+			p.logger.Info().Dur("after", now.Sub(begun)).Int("unanswered", p.front.Busy()).Int("running", p.gate.Load().Running).
+				Int64("missed", p.ready.missed.Load()).Msg("left")
+			return
+		}
+	}
+}
+
+// StopBy returns when a stop that began at that time has to end.
+func (p *Proxy) StopBy(begun time.Time) time.Time {
+	return begun.Add(p.settings.Load().Stop * endShare / 100)
+}
+
+// Stop ends the proxy: what runs is finished until the context ends.
+func (p *Proxy) Stop(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("stop proxy %s: %w", p.settings.Load().Host, err)
+		}
+	}()
+	p.finish(ctx)
+	if p.entry != nil {
+		err = errors.Join(err, p.entry.Close(), p.peers.Shutdown(ctx))
+	}
+	for _, s := range []*httpd.Server{p.admin, p.asked} {
+		if s != nil {
+			err = errors.Join(err, s.Stop(ctx))
+		}
+	}
+	// The control thread ends before the drivers that it hands commands to.
+	p.stopControl()
+	p.running.Wait()
+	p.links.Close()
+	p.depot.Close()
+	p.pool.Close()
+	p.store.Close()
+	return errors.Join(err, p.metrics.Close())
+}
+
+// finish closes callers' connections once they wait, and waits for the rest.
+func (p *Proxy) finish(ctx context.Context) {
+	ticker := time.NewTicker(stopStep)
+	defer ticker.Stop()
+	for {
+		p.front.CloseIdle()
+		if p.front.Busy() == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -7,6 +7,9 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +20,9 @@
 	connectTimeout = time.Second
 	// idleConnection is how long a connection without a call is kept.
 	idleConnection = 30 * time.Second
+	// keptShare is the part of the time for which the upstream keeps an idle
+	// connection that is used, in percent.
+	keptShare = 80
 	// bufferSize is that of a connection, in bytes, each way.
 	bufferSize = 4 << 10
 	// maxReplyHead bounds the header section of an answer, in bytes.
@@ -40,6 +46,30 @@
 	written bool
 	// used is when the last call ended.
 	used time.Time
+	// keep is how long the upstream keeps the connection without a call; zero
+	// when it did not say.
+	keep time.Duration
+}
+
+// keepFor takes in how long the upstream keeps an idle connection, less a
+// margin for what is on its way when it closes it.
+func (c *conn) keepFor(header http.Header) {
+	c.keep = 0
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		seconds, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if n, err := strconv.Atoi(seconds); err == nil && n > 0 {
+			c.keep = time.Duration(n) * time.Second * keptShare / 100
+		}
+	}
+}
+
+// stale reports whether the connection has been idle for too long.
+func (c *conn) stale() bool {
+	idle := time.Since(c.used)
+	return idle > idleConnection || c.keep > 0 && idle > c.keep
 }
 
 func newConn(raw net.Conn) *conn {
@@ -68,7 +98,7 @@
 // alive reports whether the upstream has neither closed the idle connection
 // nor sent anything on it.
 func (c *conn) alive() (alive bool) {
-	if c.reader.Buffered() > 0 || time.Since(c.used) > idleConnection {
+	if c.reader.Buffered() > 0 || c.stale() {
 		return false
 	}
 	source, ok := c.Conn.(syscall.Conn)
@@ -182,7 +212,7 @@
 	defer p.mutex.Unlock()
 	kept := 0
 	for _, c := range p.idle {
-		if time.Since(c.used) > idleConnection {
+		if c.stale() {
 			_ = c.Close()
 			continue
 		}
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -25,6 +24,9 @@
 	ReasonInDoubt    = "in-doubt"
 	ReasonBadCall    = "bad-call"
 	ReasonExpired    = "claim-expired"
+	ReasonLeaving    = "upstream-leaving"
+	ReasonMoved      = "upstream-moved"
+	ReasonUnsealed   = "answer-unsealed"
 )
 
 // gatePrefix starts the reasons that the gate gives.
@@ -44,7 +46,7 @@
 
 // Unreached reports whether the reason says that no upstream was reached.
 func Unreached(reason string) bool {
-	return reason == ReasonConnect || reason == ReasonNoUpstream
+	return reason == ReasonConnect || reason == ReasonNoUpstream || reason == ReasonLeaving
 }
 
 // Busy reports whether the reason of a call that was not run says that the
@@ -75,6 +77,10 @@
 	// nobody is. It must not block.
 	Unreachable func()
 
+	// Form is how requests to the upstream are marked; nil means that of
+	// docs/INTERFACE.md. It must not change once SetTarget was called.
+	Form Form
+
 	// upstream is nil while there is none.
 	upstream atomic.Pointer[upstream]
 	counters Counters
@@ -102,6 +108,10 @@
 		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonNoUpstream, 0)
 		return
 	}
+	if up.closed(time.Now()) {
+		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonLeaving, 0)
+		return
+	}
 	if int(call.Head.GetPriority()) >= mesh.NumPriorities {
 		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonBadCall, 0)
 		return
@@ -110,7 +120,7 @@
 		h.serveKeyed(ctx, up, call, reply)
 		return
 	}
-	h.run(ctx, up, call, reply, nil, time.Time{})
+	h.run(ctx, &visit{up: up, call: call, reply: reply})
 }
 
 // keyed reports whether the call must run at most once for its key.
@@ -138,23 +148,34 @@
 		}
 		h.refuse(reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
 	default:
-		h.run(ctx, up, call, reply, h.Claims, verdict.Until)
+		h.run(ctx, &visit{up: up, call: call, reply: reply, claims: h.Claims, until: verdict.Until})
 	}
 }
 
-// run waits at the gate and hands the call over. The claims are nil, and until
-// is zero, for a call without a key.
-func (h *Handler) run(
-	ctx context.Context, up *upstream, call *peer.Call, reply peer.ReplyWriter, claims Claims, until time.Time,
-) {
+// visit is one call at this node.
+type visit struct {
+	up    *upstream
+	call  *peer.Call
+	reply peer.ReplyWriter
+	// claims is nil for a call without a key.
+	claims Claims
+	// until is when a claimed call must have been handed over; zero for no bound.
+	until time.Time
+	// arrived is when the call came, and handed when it went to the upstream.
+	arrived, handed time.Time
+}
+
+// run waits at the gate and hands the call over.
+func (h *Handler) run(ctx context.Context, v *visit) {
+	v.arrived = time.Now()
 	deadline, _ := ctx.Deadline()
-	ticket, err := h.Gate.Enter(ctx, mesh.Priority(call.Head.GetPriority()), deadline)
+	ticket, err := h.Gate.Enter(ctx, mesh.Priority(v.call.Head.GetPriority()), deadline)
 	if err != nil {
 		var refused *gate.Refused
 		if !errors.As(err, &refused) {
 			refused = &gate.Refused{}
 		}
-		h.giveBack(call, reply, claims, gatePrefix+refused.Reason.String(), refused.RetryAfter)
+		h.giveBack(v, gatePrefix+refused.Reason.String(), refused.RetryAfter)
 		return
 	}
 	result := gate.Result{Failed: true}
@@ -162,91 +183,111 @@
 	if ctx.Err() != nil {
 		// The slot may have come when the call had just ended.
 		result = gate.Result{NotRun: true}
-		h.giveBack(call, reply, claims, gatePrefix+gate.Cancelled.String(), 0)
+		h.giveBack(v, gatePrefix+gate.Cancelled.String(), 0)
 		return
 	}
-	result = h.handOver(ctx, up, call, reply, claims, until)
+	if v.up.closed(time.Now()) || v.up != h.upstream.Load() {
+		result = gate.Result{NotRun: true}
+		h.giveBack(v, ReasonLeaving, 0)
+		return
+	}
+	result = h.handOver(ctx, v)
 }
 
 // giveBack refuses a call that was not handed over. One with a claim gives that
 // back, and is not to be tried at another host meanwhile, where the claim would
 // make it doubtful.
-func (h *Handler) giveBack(
-	call *peer.Call, reply peer.ReplyWriter, claims Claims, reason string, after time.Duration,
-) {
-	if claims != nil {
-		claims.Released(call)
+func (h *Handler) giveBack(v *visit, reason string, after time.Duration) {
+	if v.claims != nil {
+		v.claims.Released(v.call)
 		reason, after = claimedPrefix+reason, max(after, claimedRetry)
 	}
-	h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, reason, after)
+	h.refuse(v.reply, wire.Outcome_OUTCOME_NOT_RUN, reason, after)
 }
 
-// handOver gives the call to the upstream and passes the answer back. The
-// claims are nil, and until is zero, for a call without a key.
-func (h *Handler) handOver(
-	ctx context.Context, up *upstream, call *peer.Call, reply peer.ReplyWriter, claims Claims, until time.Time,
-) (result gate.Result) {
-	response, started, err := up.send(ctx, call, until)
-	notRun := err != nil && !started
-	if err == nil && refusedByUpstream(response) {
-		notRun = true
-		result.Shed = true
-	}
+// handOver gives the call to the upstream and passes the answer back.
+func (h *Handler) handOver(ctx context.Context, v *visit) (result gate.Result) {
+	v.handed = time.Now()
+	response, started, err := v.up.send(ctx, v.call, v.until)
 	switch {
-	case notRun:
-		// The gate learns from an upstream that sheds, but not from a connection
-		// that could not be opened.
-		result.NotRun = !result.Shed
-		reason, after := ReasonConnect, time.Duration(0)
-		if err == nil {
-			reason, after = ReasonRefused, retryAfter(response.Header)
-			_, _ = io.CopyN(io.Discard, response.Body, copySize)
-			_ = response.Body.Close()
-		} else {
-			result.Failed = !errors.Is(err, errBody) && !errors.Is(err, errExpired)
-		}
-		if result.Failed && h.Unreachable != nil && ctx.Err() == nil {
-			h.Unreachable()
-		}
-		switch {
-		case errors.Is(err, errBody):
-			reason = peer.ReasonRequest
-		case errors.Is(err, errExpired):
-			reason = ReasonExpired
-		}
-		h.giveBack(call, reply, claims, reason, after)
+	case err == nil && response.said.NotRun:
+		return h.shed(v, response)
+	case err != nil && !started:
+		return h.notHandedOver(ctx, v, err)
 	case err != nil:
-		result.Failed = true
-		h.refuse(reply, wire.Outcome_OUTCOME_UNKNOWN, unknownReason(ctx), 0)
+		reason := unknownReason(ctx)
+		if errors.Is(err, errUnsealed) {
+			reason = ReasonUnsealed
+		}
+		h.refuse(v.reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
+		return gate.Result{Failed: true}
 	default:
-		result.Failed = !h.passOn(response, call, reply, claims)
+		return gate.Result{Failed: !h.passOn(response, v)}
 	}
+}
+
+// shed passes on that the upstream did not run the call. The gate learns from
+// an upstream that sheds, but not from one that is another by now.
+func (h *Handler) shed(v *visit, response answered) gate.Result {
+	_, _ = io.CopyN(io.Discard, response.Body, copySize)
+	_ = response.Body.Close()
+	if response.said.Moved {
+		h.tellUnreachable()
+		h.giveBack(v, ReasonMoved, 0)
+		return gate.Result{NotRun: true, Failed: true}
+	}
+	h.giveBack(v, ReasonRefused, retryAfter(response.Header))
+	return gate.Result{Shed: true}
+}
+
+// notHandedOver passes on that no byte of the call reached the upstream.
+func (h *Handler) notHandedOver(ctx context.Context, v *visit, err error) (result gate.Result) {
+	result = gate.Result{NotRun: true, Failed: !errors.Is(err, errBody) && !errors.Is(err, errExpired)}
+	if result.Failed && ctx.Err() == nil {
+		h.tellUnreachable()
+	}
+	reason := ReasonConnect
+	switch {
+	case errors.Is(err, errBody):
+		reason = peer.ReasonRequest
+	case errors.Is(err, errExpired):
+		reason = ReasonExpired
+	}
+	h.giveBack(v, reason, 0)
 	return result
 }
 
+func (h *Handler) tellUnreachable() {
+	if h.Unreachable != nil {
+		h.Unreachable()
+	}
+}
+
 // passOn sends the answer back and reports whether it was whole.
-func (h *Handler) passOn(response *http.Response, call *peer.Call, reply peer.ReplyWriter, claims Claims) (whole bool) {
+func (h *Handler) passOn(response answered, v *visit) (whole bool) {
 	defer func() { _ = response.Body.Close() }()
 	head := &wire.ReplyHead{
-		Status:      uint32(response.StatusCode),
-		Headers:     replyHeaders(response.Header),
-		BodyLength:  response.ContentLength,
-		LoadPercent: h.load(),
+		Status:        uint32(response.StatusCode),
+		Headers:       replyHeaders(response.Header),
+		BodyLength:    response.ContentLength,
+		LoadPercent:   h.load(),
+		ServiceMicros: time.Since(v.handed).Microseconds(),
+		NodeMicros:    time.Since(v.arrived).Microseconds(),
 	}
 	var kept *keeper
-	var sink io.Writer = reply
-	if claims != nil {
-		kept = &keeper{next: reply}
+	var sink io.Writer = v.reply
+	if v.claims != nil {
+		kept = &keeper{next: v.reply}
 		sink = kept
 	}
-	_ = reply.WriteHead(head)
-	err := copyBody(sink, reply, response)
-	if claims != nil && err == nil {
-		claims.Answered(call, kept.answer(head))
+	_ = v.reply.WriteHead(head)
+	err := copyBody(sink, v.reply, response)
+	if v.claims != nil && err == nil {
+		v.claims.Answered(v.call, kept.answer(head))
 	}
 	if err != nil {
 		h.counters.Cut.Add(1)
-		reply.Fail(ReasonLost)
+		v.reply.Fail(ReasonLost)
 		return false
 	}
 	h.counters.Answered.Add(1)
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -12,11 +12,11 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/wire"
-	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
 const (
@@ -25,6 +25,8 @@
 	copySize = 16 << 10
 	// keepAnswer bounds the body that is kept for a key, in bytes.
 	keepAnswer = 64 << 10
+	// maxPassedOver bounds the body of a late answer that is passed over, in bytes.
+	maxPassedOver = 1 << 20
 )
 
 // Headers between the mesh and its callers and upstreams.
@@ -42,22 +44,58 @@
 	errBody = errors.New("request body")
 	// errExpired means that a claim ended before its call was handed over.
 	errExpired = errors.New("claim expired")
+	// errUnsealed means that a success does not prove that it is the upstream's own.
+	errUnsealed = errors.New("answer without proof of its origin")
 )
 
 var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
 
+// Target is the upstream that calls go to.
+type Target struct {
+	// Address is invalid when there is none.
+	Address netip.AddrPort
+	// Connections bounds the connections to it; zero means no bound.
+	Connections int
+	// Instance names its lifetime; empty when that is not told.
+	Instance string
+	// Until is when no further call may be sent to it; zero means no bound.
+	Until time.Time
+}
+
 // upstream is the HTTP server that this node stands in front of.
-type upstream struct{ conns conns }
+type upstream struct {
+	conns    conns
+	form     Form
+	instance string
+	// until is when no further call may be sent, nil for no bound.
+	until atomic.Pointer[time.Time]
+}
+
+// closed reports whether no further call may be sent.
+func (u *upstream) closed(now time.Time) bool {
+	until := u.until.Load()
+	return until != nil && !now.Before(*until)
+}
 
 // SetUpstream makes the address the one that calls go to, over at most that
 // many connections; zero means no bound. An invalid address means that there
 // is no upstream.
 func (h *Handler) SetUpstream(address netip.AddrPort, connections int) {
+	h.SetTarget(Target{Address: address, Connections: connections})
+}
+
+// SetTarget makes the target the one that calls go to. Calls that run go on.
+func (h *Handler) SetTarget(target Target) {
+	if before := h.upstream.Load(); before != nil && before.serves(target) {
+		before.closeAt(target.Until)
+		return
+	}
 	var next *upstream
-	if address.IsValid() {
-		next = &upstream{conns: conns{address: address.String()}}
-		if connections > 0 {
-			next.conns.slots = make(chan struct{}, connections)
+	if target.Address.IsValid() {
+		next = &upstream{conns: conns{address: target.Address.String()}, form: h.form(), instance: target.Instance}
+		next.closeAt(target.Until)
+		if target.Connections > 0 {
+			next.conns.slots = make(chan struct{}, target.Connections)
 		}
 	}
 	if before := h.upstream.Swap(next); before != nil {
@@ -65,6 +103,26 @@
 	}
 }
 
+// serves reports whether the target differs from this one in its bound of time only.
+func (u *upstream) serves(target Target) bool {
+	return u.conns.address == target.Address.String() && u.instance == target.Instance && cap(u.conns.slots) == target.Connections
+}
+
+func (u *upstream) closeAt(until time.Time) {
+	if until.IsZero() {
+		u.until.Store(nil)
+		return
+	}
+	u.until.Store(&until)
+}
+
+func (h *Handler) form() Form {
+	if h.Form == nil {
+		return ownForm{}
+	}
+	return h.Form
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	conns *conns
@@ -79,6 +137,11 @@
 	body io.Reader
 	// until is when the request must have begun; zero means no bound.
 	until time.Time
+	// id names the request; empty when the caller gave none.
+	id   string
+	form Form
+	// said is what the answer tells.
+	said Said
 	// keep is false when either side asked to close the connection.
 	keep bool
 	once sync.Once
@@ -86,7 +149,7 @@
 
 // send makes the request. When it fails, started tells whether any of it may
 // have reached the upstream. Nothing is sent after until, unless it is zero.
-func (u *upstream) send(ctx context.Context, call *peer.Call, until time.Time) (response *http.Response, started bool, err error) {
+func (u *upstream) send(ctx context.Context, call *peer.Call, until time.Time) (answer answered, started bool, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("upstream %s: %w", u.conns.address, err)
@@ -94,24 +157,34 @@
 	}()
 	request, err := u.request(ctx, call)
 	if err != nil {
-		return nil, false, err
+		return answer, false, err
 	}
 	c, err := u.conns.take(ctx)
 	if err != nil {
-		return nil, false, err
+		return answer, false, err
+	}
+	x := &exchange{
+		conns: &u.conns, conn: c, body: call.Body, until: until, keep: true, id: call.Head.GetId(), form: u.form,
 	}
-	x := &exchange{conns: &u.conns, conn: c, body: call.Body, until: until, keep: true}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
+	var response *http.Response
 	if err = x.write(request); err == nil {
 		response, err = x.read(request)
 	}
 	if err != nil {
 		x.finish(false)
-		return nil, c.written, err
+		return answer, c.written, err
 	}
-	x.keep = !response.Close
+	x.keep = x.keep && !response.Close
+	c.keepFor(response.Header)
 	response.Body = &responseBody{ReadCloser: response.Body, exchange: x}
-	return response, true, nil
+	return answered{Response: response, said: x.said}, true, nil
+}
+
+// answered is an answer with what it tells.
+type answered struct {
+	*http.Response
+	said Said
 }
 
 // write sends the request. A long body is sent while the answer is awaited.
@@ -156,22 +229,50 @@
 	return io.NopCloser(bytes.NewReader(data)), nil
 }
 
-// read waits for the answer's head and passes over interim ones.
+// read waits for the answer's head and passes over interim ones, and over late
+// answers to earlier requests.
 func (x *exchange) read(request *http.Request) (response *http.Response, err error) {
 	for {
 		x.conn.left = maxReplyHead
 		response, err = http.ReadResponse(x.conn.reader, request)
 		x.conn.left = math.MaxInt64
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("upstream switched protocols")
+		case response.StatusCode < http.StatusOK:
+			continue
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		x.said = x.form.Read(response.StatusCode, response.Header)
+		if x.said.ID == "" || x.said.ID == x.id {
+			return response, x.checkSeal(response)
 		}
+		x.keep = false
+		if err = passOver(response); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// checkSeal refuses a success that may not be the upstream's own.
+func (x *exchange) checkSeal(response *http.Response) error {
+	if response.StatusCode < http.StatusMultipleChoices && !x.said.Sealed {
+		return errUnsealed
 	}
+	return nil
+}
+
+// passOver reads a late answer to another request to its end.
+func passOver(response *http.Response) (err error) {
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return errors.New("late answer without an end")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxPassedOver+1))
+	if err == nil && n > maxPassedOver {
+		return errors.New("late answer too long")
+	}
+	return err
 }
 
 // finish gives the connection back when the exchange is whole, or closes it.
@@ -210,11 +311,11 @@
 // request builds the request without its body.
 func (u *upstream) request(ctx context.Context, call *peer.Call) (request *http.Request, err error) {
 	head := call.Head
-	target, err := url.ParseRequestURI(head.GetPath())
-	if err != nil {
+	if _, err = url.ParseRequestURI(head.GetPath()); err != nil {
 		return nil, err
 	}
-	target.Scheme, target.Host = "http", u.conns.address
+	// An opaque URL is written as it came.
+	target := &url.URL{Scheme: "http", Host: u.conns.address, Opaque: head.GetPath()}
 	request = &http.Request{
 		Method:        head.GetMethod(),
 		URL:           target,
@@ -238,19 +339,16 @@
 	if _, named := request.Header["User-Agent"]; !named {
 		request.Header["User-Agent"] = nil
 	}
-	request.Header[HeaderPriority] = []string{mesh.Priority(head.GetPriority()).String()}
-	request.Header[HeaderAttempt] = []string{head.GetAttempt()}
-	if head.GetKey() != "" {
-		request.Header[HeaderKey] = []string{head.GetKey()}
-	}
+	left := time.Duration(0)
 	if deadline, limited := ctx.Deadline(); limited {
-		request.Header[HeaderTimeout] = []string{time.Until(deadline).Round(time.Microsecond).String()}
+		left = max(time.Until(deadline), time.Microsecond)
 	}
+	u.form.Stamp(request.Header, head, u.instance, left)
 	return request, nil
 }
 
 // copyBody passes the body on, each part at once when its length is not known.
-func copyBody(sink io.Writer, reply peer.ReplyWriter, response *http.Response) (err error) {
+func copyBody(sink io.Writer, reply peer.ReplyWriter, response answered) (err error) {
 	buffer := copyBuffers.Get().(*[copySize]byte)
 	defer copyBuffers.Put(buffer)
 	for {
@@ -303,12 +401,6 @@
 	return Answer{Head: head, Body: k.body, Whole: !k.long}
 }
 
-// refusedByUpstream reports whether the upstream says that it did not run the call.
-func refusedByUpstream(response *http.Response) bool {
-	return response.StatusCode == http.StatusServiceUnavailable &&
-		response.Header.Get(HeaderOutcome) == peer.NotRun.String()
-}
-
 // retryAfter returns the delay in seconds that the upstream asks for, if any.
 func retryAfter(header http.Header) time.Duration {
 	seconds, err := strconv.Atoi(header.Get(HeaderRetryAfter))
--- /dev/null
+++ b/internal/steer/decide.go
@@ -0,0 +1,221 @@
+package steer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/serve"
+	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
+)
+
+// Reasons of answers of this node's own; those of peer and serve come besides.
+const (
+	ReasonNoVersion   = "no-version"
+	ReasonNoRule      = "no-rule"
+	ReasonHeader      = "bad-header"
+	ReasonNoUpstreams = "no-upstreams"
+	ReasonDeadline    = "deadline"
+	// ReasonPromise stands for an upstream's status that would promise too much.
+	ReasonPromise = "upstream-promise"
+)
+
+const (
+	// maxHosts bounds the hosts that one request is offered to.
+	maxHosts = 4
+	// noVersionRetry and noUpstreamRetry are when a caller should come back.
+	noVersionRetry  = 200 * time.Millisecond
+	noUpstreamRetry = 150 * time.Millisecond
+	// leastRetry and mostRetry bound the advice after other refusals.
+	leastRetry = 50 * time.Millisecond
+	mostRetry  = 2 * time.Second
+	// maxAnswer bounds an upstream's answer, in bytes.
+	maxAnswer = 64 << 20
+	// zoneCost and regionCost are what distance costs a short answer, besides the
+	// trip, and bulkZoneCost and bulkRegionCost a long one.
+	zoneCost       = 2 * time.Millisecond
+	regionCost     = 60 * time.Millisecond
+	bulkZoneCost   = 150 * time.Millisecond
+	bulkRegionCost = time.Second
+)
+
+// asCallError returns the error as one of a call.
+func asCallError(err error) (failed *peer.CallError) {
+	if errors.As(err, &failed) {
+		return failed
+	}
+	return &peer.CallError{Outcome: peer.Unknown, Reason: peer.ReasonProtocol, Err: err}
+}
+
+// outcomeOf tells the picker how a failed call ended.
+func outcomeOf(ctx context.Context, failed *peer.CallError) pick.Outcome {
+	gone := errors.Is(ctx.Err(), context.Canceled)
+	return pick.Outcome{
+		Failed:      !gone && !(failed.Reason == peer.ReasonDeadline && ctx.Err() != nil),
+		NotRun:      failed.Outcome == peer.NotRun,
+		Busy:        serve.Busy(failed.Reason),
+		LoadPercent: failed.LoadPercent,
+	}
+}
+
+// goesOn decides whether a failed request is offered to another host.
+func (s *Steerer) goesOn(ctx context.Context, j *job, failed *peer.CallError) bool {
+	reached := failed.Outcome == peer.Unknown || failed.Reason == serve.ReasonRefused || failed.Reason == serve.ReasonMoved
+	if reached {
+		j.arrivals++
+	}
+	if failed.Outcome == peer.Unknown {
+		j.unknown = true
+	}
+	if ctx.Err() != nil || len(j.tried) >= maxHosts {
+		return false
+	}
+	if failed.Outcome == peer.Unknown && !j.rule.Kind.Repeatable() {
+		return false
+	}
+	if !reached {
+		return true
+	}
+	return s.mayRepeat(j)
+}
+
+// mayRepeat reports whether a request that reached an upstream may be sent to
+// one more, and counts it if so.
+func (s *Steerer) mayRepeat(j *job) bool {
+	if j.arrivals >= j.rule.Attempts || len(j.tried) >= maxHosts || time.Until(j.deadline) < s.Picker.ExpectedOf(j.rule.Name)/2 {
+		return false
+	}
+	return s.Budget.Take(time.Now(), j.service, j.traffic.Nodes)
+}
+
+// truthful returns an upstream's answer, unless its status would promise that
+// the request did not run where the upstream has not said so.
+func (s *Steerer) truthful(j *job, answer *front.Answer) *front.Answer {
+	switch answer.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return s.own(j, http.StatusBadGateway, ReasonPromise, 0)
+	}
+	return answer
+}
+
+// giveUp answers a request that no upstream answered. It says that the request
+// did not run only where that is certain.
+func (s *Steerer) giveUp(ctx context.Context, j *job, failed *peer.CallError) *front.Answer {
+	if j.kept != nil {
+		return s.truthful(j, j.kept)
+	}
+	reason := ReasonNoUpstreams
+	retryAfter := noUpstreamRetry
+	if failed != nil {
+		reason, retryAfter = failed.Reason, min(max(failed.RetryAfter, leastRetry), mostRetry)
+	}
+	switch {
+	case j.unknown && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return s.own(j, http.StatusGatewayTimeout, ReasonDeadline, 0)
+	case j.unknown:
+		return s.own(j, http.StatusBadGateway, reason, 0)
+	default:
+		return s.own(j, http.StatusServiceUnavailable, reason, retryAfter)
+	}
+}
+
+// own returns an answer of this node's own.
+func (s *Steerer) own(j *job, status int, reason string, retryAfter time.Duration) *front.Answer {
+	j.end.Reason, j.end.RetryAfter = reason, retryAfter
+	answer := &front.Answer{Status: status, Body: []byte(reason + "\n")}
+	answer.Length = int64(len(answer.Body))
+	answer.Headers = append(answer.Headers, &wire.Header{Name: "Content-Type", Value: "text/plain; charset=utf-8"})
+	if j.end.ID != "" {
+		name, value := s.Form.Echo(j.end.ID)
+		answer.Headers = append(answer.Headers, &wire.Header{Name: name, Value: value})
+	}
+	if retryAfter > 0 {
+		answer.Headers = append(answer.Headers, &wire.Header{
+			Name: "Retry-After", Value: strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64),
+		})
+	}
+	return answer
+}
+
+// readAll reads an answer to its end, which proves that it is whole.
+func readAll(reply *peer.Reply) (body []byte, err error) {
+	defer func() { _ = reply.Body.Close() }()
+	size := max(reply.Head.GetBodyLength(), 0)
+	if size > maxAnswer {
+		return nil, fmt.Errorf("answer of %d bytes exceeds %d", size, maxAnswer)
+	}
+	buffer := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	if _, err = buffer.ReadFrom(io.LimitReader(reply.Body, maxAnswer+1)); err != nil {
+		return nil, err
+	}
+	if buffer.Len() > maxAnswer {
+		return nil, fmt.Errorf("answer exceeds %d bytes", maxAnswer)
+	}
+	return buffer.Bytes(), nil
+}
+
+// bodyOf returns the body of one attempt, nil for none.
+func bodyOf(body []byte) io.Reader {
+	if len(body) == 0 {
+		return nil
+	}
+	return bytes.NewReader(body)
+}
+
+// note adds an attempt to what is told of the request.
+func (s *Steerer) note(j *job, candidate pick.Candidate, start time.Time, reply *peer.Reply, failed *peer.CallError) {
+	attempt := Attempt{Host: candidate.Host, Took: time.Since(start)}
+	switch {
+	case failed != nil:
+		attempt.Outcome, attempt.Reason = failed.Outcome.String(), failed.Reason
+		if failed.Err != nil {
+			attempt.Reason += ": " + failed.Err.Error()
+		}
+	default:
+		attempt.Outcome, attempt.Status = "answered", int(reply.Head.GetStatus())
+		attempt.Work, attempt.AtNode = micros(reply.Head.GetServiceMicros()), micros(reply.Head.GetNodeMicros())
+	}
+	j.end.Attempts = append(j.end.Attempts, attempt)
+}
+
+// End tells of one request what became of it and why.
+type End struct {
+	ID, Method, Host, Path string
+	// Version is the one that the request was handled by; zero when none was in force.
+	Version mesh.Version
+	// Rule and Service are empty when no rule was found.
+	Rule    string
+	Service mesh.Service
+	Rank    int
+	Arrived time.Time
+	// Allowed is the time that the request had, and Took what it took.
+	Allowed, Took time.Duration
+	Attempts      []Attempt
+	Status        int
+	// Reason is empty for an upstream's answer.
+	Reason     string
+	RetryAfter time.Duration
+	// Gone is true when the caller went away before the answer.
+	Gone bool
+}
+
+// Attempt is one host that a request was offered to.
+type Attempt struct {
+	Host mesh.HostID
+	// Outcome is "answered", "not-run" or "unknown".
+	Outcome string
+	Reason  string
+	Status  int
+	// Took is what the attempt took, AtNode the part at the host's node, and Work
+	// that at the upstream.
+	Took, AtNode, Work time.Duration
+}
--- /dev/null
+++ b/internal/steer/steer.go
@@ -0,0 +1,246 @@
+// Package steer brings whole requests of callers to upstreams by the version in
+// force: it finds the rule, chooses the upstream, repeats where that is allowed,
+// and says truthfully how a request without an answer ended.
+package steer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
+	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/retry"
+)
+
+// View gives the snapshot that requests are handled by.
+type View interface {
+	Traffic() cells.ProxyTraffic
+}
+
+// Caller calls other nodes. Its errors are of type *peer.CallError.
+type Caller interface {
+	Call(ctx context.Context, node netip.AddrPort, call *peer.Call) (*peer.Reply, error)
+}
+
+// LocalCaller calls the upstream of this very node, with the same errors.
+type LocalCaller interface {
+	Call(ctx context.Context, call *peer.Call) (*peer.Reply, error)
+}
+
+// Form is how callers mark their requests.
+type Form interface {
+	// ID names the caller's attempt, empty when it gave none.
+	ID(field func(name string) string) string
+	// Timeout is how long the caller waits, zero when it does not say.
+	Timeout(field func(name string) string) (time.Duration, error)
+	// Sets reports whether the mesh sets the header, whatever a caller sent.
+	Sets(name string) bool
+	// Origin tells an upstream where the request began.
+	Origin(service mesh.Service) (name, value string)
+	// Echo names the caller's attempt in an answer.
+	Echo(id string) (name, value string)
+}
+
+// Recorder is told how each request ended. It must not block.
+type Recorder interface {
+	Record(end End)
+}
+
+// Steerer handles requests. The fields before Picker must be set; none may change
+// once it is used.
+type Steerer struct {
+	View     View
+	Caller   Caller
+	Local    LocalCaller
+	Form     Form
+	Recorder Recorder
+	// Host and Place are this node's.
+	Host  mesh.HostID
+	Place mesh.Place
+	// Service tells which service stands beside this node.
+	Service func() mesh.Service
+
+	Picker pick.Picker
+	Budget retry.Window
+
+	calls atomic.Uint64
+}
+
+// job is one request on its way.
+type job struct {
+	request *front.Request
+	end     End
+	rule    *plan.Rule
+	service mesh.Service
+	traffic cells.ProxyTraffic
+	// tried lists the hosts of the attempts so far.
+	tried []mesh.HostID
+	// arrivals counts the attempts that may have reached an upstream.
+	arrivals int
+	deadline time.Time
+	// unknown is set once an attempt may have run.
+	unknown bool
+	// kept is an upstream's failure that is passed on unless a repeat does better.
+	kept *front.Answer
+}
+
+// Handle implements front.Handler.
+func (s *Steerer) Handle(ctx context.Context, request *front.Request) *front.Answer {
+	j := &job{request: request}
+	j.end = End{ID: s.Form.ID(request.Field), Method: request.Method, Host: request.Host, Path: request.Path, Arrived: request.Arrived}
+	answer := s.handle(ctx, j)
+	j.end.Status, j.end.Took = answer.Status, time.Since(request.Arrived)
+	j.end.Gone = ctx.Err() != nil
+	s.Recorder.Record(j.end)
+	return answer
+}
+
+// Malformed implements front.Handler.
+func (s *Steerer) Malformed(status int, reason string) *front.Answer {
+	j := &job{end: End{Arrived: time.Now(), Status: status}}
+	answer := s.own(j, status, reason, 0)
+	s.Recorder.Record(j.end)
+	return answer
+}
+
+func (s *Steerer) handle(ctx context.Context, j *job) *front.Answer {
+	j.traffic = s.View.Traffic()
+	j.end.Version = j.traffic.Plan.Version()
+	timeout, err := s.Form.Timeout(j.request.Field)
+	if err != nil {
+		return s.own(j, http.StatusBadRequest, ReasonHeader, 0)
+	}
+	if j.traffic.Plan == nil {
+		return s.own(j, http.StatusServiceUnavailable, ReasonNoVersion, noVersionRetry)
+	}
+	rule, found := j.traffic.Plan.Match(j.request.Host, j.request.Path)
+	if !found {
+		return s.own(j, http.StatusNotFound, ReasonNoRule, 0)
+	}
+	j.rule, j.service = rule, rule.Choose(rand.Float64())
+	j.end.Rule, j.end.Service, j.end.Rank = rule.Name, j.service, rule.Rank
+	if timeout == 0 || timeout > rule.Timeout {
+		timeout = rule.Timeout
+	}
+	j.deadline = j.request.Arrived.Add(timeout)
+	j.end.Allowed = timeout
+	s.Budget.Request(j.request.Arrived, j.service)
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	return s.run(ctx, j)
+}
+
+// run makes attempts until one is answered or no further one is allowed.
+func (s *Steerer) run(ctx context.Context, j *job) *front.Answer {
+	for {
+		candidate, expected, err := s.Picker.Cheapest(time.Now(), pick.Cheap{
+			Set: j.traffic.Sets[j.service], From: s.Place, Tried: j.tried, Class: j.rule.Name, Places: placesOf(j.rule),
+		})
+		if err != nil {
+			return s.giveUp(ctx, j, nil)
+		}
+		if len(j.tried) > 0 && time.Until(j.deadline) < expected/2 {
+			return s.giveUp(ctx, j, nil)
+		}
+		answer, failed := s.attempt(ctx, j, candidate)
+		if failed == nil {
+			if answer.Status < http.StatusInternalServerError || !j.rule.Kind.Repeatable() || !s.mayRepeat(j) {
+				return s.truthful(j, answer)
+			}
+			j.kept = answer
+			continue
+		}
+		if !s.goesOn(ctx, j, failed) {
+			return s.giveUp(ctx, j, failed)
+		}
+	}
+}
+
+// placesOf tells what distance costs a request of the rule. Long answers are
+// dear on the way, and are kept near while that serves them.
+func placesOf(rule *plan.Rule) pick.Places {
+	if rule.Kind == plan.Download {
+		return pick.Places{Zone: bulkZoneCost, Region: bulkRegionCost}
+	}
+	return pick.Places{Zone: zoneCost, Region: regionCost}
+}
+
+// attempt calls one upstream once and reads its whole answer.
+func (s *Steerer) attempt(ctx context.Context, j *job, candidate pick.Candidate) (answer *front.Answer, failed *peer.CallError) {
+	j.tried = append(j.tried, candidate.Host)
+	start := time.Now()
+	flight := s.Picker.Begin(start, candidate.Host)
+	outcome := pick.Outcome{}
+	reply, err := s.call(ctx, j, candidate)
+	var body []byte
+	if err == nil {
+		body, err = readAll(reply)
+	}
+	now := time.Now()
+	if err != nil {
+		failed = asCallError(err)
+		outcome = outcomeOf(ctx, failed)
+	} else {
+		outcome = pick.Outcome{
+			Latency: now.Sub(start), LoadPercent: int(reply.Head.GetLoadPercent()),
+			Failed: reply.Head.GetStatus() >= http.StatusInternalServerError,
+			Service: pick.Service{
+				Class: j.rule.Name, Work: micros(reply.Head.GetServiceMicros()), AtNode: micros(reply.Head.GetNodeMicros()),
+			},
+		}
+	}
+	flight.End(now, outcome)
+	s.note(j, candidate, start, reply, failed)
+	if failed != nil {
+		return nil, failed
+	}
+	j.arrivals++
+	return &front.Answer{
+		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body, Length: reply.Head.GetBodyLength(),
+	}, nil
+}
+
+func micros(n int64) time.Duration {
+	return time.Duration(n) * time.Microsecond
+}
+
+func (s *Steerer) call(ctx context.Context, j *job, candidate pick.Candidate) (reply *peer.Reply, err error) {
+	head := &wire.CallHead{
+		Service: string(j.service), Method: j.request.Method, Path: j.request.Target, Headers: s.headers(j),
+		Priority: uint32(priorityOf(j.rule.Rank)), Idempotent: j.rule.Kind.Repeatable(), BodyLength: int64(len(j.request.Body)),
+		CallerRegion: string(s.Place.Region), Route: j.rule.Name, Id: j.end.ID,
+		Attempt: string(s.Host) + "-" + strconv.FormatUint(s.calls.Add(1), 36),
+	}
+	call := &peer.Call{Head: head, Fresh: len(j.tried) > 1, Body: bodyOf(j.request.Body)}
+	if candidate.Host == s.Host {
+		return s.Local.Call(ctx, call)
+	}
+	return s.Caller.Call(ctx, candidate.Node, call)
+}
+
+// headers returns the headers that the upstream gets.
+func (s *Steerer) headers(j *job) (headers []*wire.Header) {
+	headers = make([]*wire.Header, 0, len(j.request.Headers)+1)
+	for _, h := range j.request.Headers {
+		if !s.Form.Sets(h.GetName()) {
+			headers = append(headers, h)
+		}
+	}
+	name, value := s.Form.Origin(s.Service())
+	return append(headers, &wire.Header{Name: name, Value: value})
+}
+
+// priorityOf returns the priority of a rank; 0 is the most urgent rank.
+func priorityOf(rank int) mesh.Priority {
+	return mesh.Priority(max(0, int(mesh.Urgent)-rank))
+}
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -4,27 +4,16 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 )
 
-const objectsPath = "/v1/objects"
-
-// object is the JSON form of an Object.
-type object struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
-	Version uint64 `json:"version"`
-}
-
 // Get returns the object.
 func (c *Client) Get(ctx context.Context, key string) (found Object, err error) {
 	defer annotate(&err, "get", key)
 	if err = checkKey(key); err != nil {
 		return found, err
 	}
-	return c.single(ctx, request{method: http.MethodGet, path: objectPath(key)}, key)
+	return c.single(ctx, key, c.options.Form.Get(key))
 }
 
 // List returns the objects whose key starts with the prefix, ordered by key,
@@ -34,16 +23,13 @@
 	defer annotate(&err, "list", prefix)
 	after := ""
 	for {
-		var page struct {
-			Objects  []object `json:"objects"`
-			Revision uint64   `json:"revision"`
-			More     bool     `json:"more"`
-		}
-		query := url.Values{"prefix": {prefix}}
-		if after != "" {
-			query.Set("after", after)
-		}
-		if err = c.call(ctx, request{method: http.MethodGet, path: objectsPath, query: query}, &page); err != nil {
+		var page Page
+		r := request{Call: c.options.Form.List(prefix, after)}
+		err = c.call(ctx, r, func(data []byte) (err error) {
+			page, err = c.options.Form.ReadPage(prefix, data)
+			return err
+		})
+		if err != nil {
 			return nil, 0, err
 		}
 		if after == "" {
@@ -54,7 +40,7 @@
 				return nil, 0, fmt.Errorf("%w: key %q out of order", ErrUnavailable, o.Key)
 			}
 			after = o.Key
-			objects = append(objects, Object(o))
+			objects = append(objects, o)
 		}
 		if !page.More || len(page.Objects) == 0 {
 			return objects, revision, nil
@@ -65,33 +51,28 @@
 // Create stores a new object, or fails with ErrConflict when the key is taken.
 func (c *Client) Create(ctx context.Context, key string, value []byte) (created Object, err error) {
 	defer annotate(&err, "create", key)
-	if err = checkKey(key); err != nil {
+	if err = checkWrite(key, value); err != nil {
 		return created, err
 	}
-	if err = checkValue(value); err != nil {
-		return created, err
+	call, err := c.options.Form.Create(key, value)
+	if err != nil {
+		return created, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	body := struct {
-		Value []byte `json:"value"`
-	}{notNil(value)}
-	return c.single(ctx, request{method: http.MethodPost, path: objectPath(key), body: body}, key)
+	return c.single(ctx, key, call)
 }
 
 // Update replaces the object of that version, or fails with ErrConflict when
 // it has another one.
 func (c *Client) Update(ctx context.Context, key string, value []byte, version uint64) (updated Object, err error) {
 	defer annotate(&err, "update", key)
-	if err = checkKey(key); err != nil {
+	if err = checkWrite(key, value); err != nil {
 		return updated, err
 	}
-	if err = checkValue(value); err != nil {
-		return updated, err
+	call, err := c.options.Form.Update(key, value, version)
+	if err != nil {
+		return updated, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	body := struct {
-		Value   []byte `json:"value"`
-		Version uint64 `json:"version"`
-	}{notNil(value), version}
-	return c.single(ctx, request{method: http.MethodPut, path: objectPath(key), body: body}, key)
+	return c.single(ctx, key, call)
 }
 
 // Delete removes the object of that version, or fails with ErrConflict when it
@@ -101,9 +82,9 @@
 	if err = checkKey(key); err != nil {
 		return err
 	}
-	query := url.Values{"version": {strconv.FormatUint(version, 10)}}
-	_, err = c.single(ctx, request{method: http.MethodDelete, path: objectPath(key), query: query}, key)
-	return err
+	r := request{Call: c.options.Form.Delete(key, version), key: key}
+	// The answer tells the object that is gone, if anything.
+	return c.call(ctx, r, func([]byte) error { return nil })
 }
 
 // Watch returns the events under the prefix after the revision from, as soon
@@ -112,69 +93,44 @@
 // server's wait and the grace.
 func (c *Client) Watch(ctx context.Context, prefix string, from uint64) (events []Event, next uint64, err error) {
 	defer annotate(&err, "watch", prefix)
-	var answer struct {
-		Events []struct {
-			object
-			Deleted bool `json:"deleted"`
-		} `json:"events"`
-		Next uint64 `json:"next"`
-	}
 	r := request{
-		method: http.MethodGet, path: "/v1/watch",
-		query: url.Values{
-			"prefix": {prefix}, "from": {strconv.FormatUint(from, 10)}, "wait": {c.options.Wait.String()},
-		},
+		Call:    c.options.Form.Watch(prefix, from, c.options.Wait),
 		timeout: c.options.Wait + c.options.Grace,
 	}
-	if err = c.call(ctx, r, &answer); err != nil {
+	err = c.call(ctx, r, func(data []byte) (err error) {
+		events, next, err = c.options.Form.ReadChanges(prefix, data)
+		return err
+	})
+	if err != nil {
 		return nil, from, err
 	}
-	events = make([]Event, len(answer.Events))
-	for i, e := range answer.Events {
-		events[i] = Event{Object: Object(e.object), Deleted: e.Deleted}
-	}
-	return events, answer.Next, nil
-}
-
-// single makes a call about one object and checks that the answer is about it.
-func (c *Client) single(ctx context.Context, r request, key string) (found Object, err error) {
-	var answer object
-	if err = c.call(ctx, r, &answer); err != nil {
-		return found, err
-	}
-	if answer.Key != key {
-		return found, fmt.Errorf("%w: answer about %q", r.noAnswer(), answer.Key)
-	}
-	return Object(answer), nil
-}
-
-func objectPath(key string) string {
-	return objectsPath + "/" + key
+	return events, next, nil
 }
 
-// notNil keeps an empty value from standing as null in JSON.
-func notNil(value []byte) []byte {
-	if value == nil {
-		return []byte{}
-	}
-	return value
+// single makes a call about one object.
+func (c *Client) single(ctx context.Context, key string, call Call) (found Object, err error) {
+	err = c.call(ctx, request{Call: call, key: key}, func(data []byte) (err error) {
+		found, err = c.options.Form.ReadObject(key, data)
+		return err
+	})
+	return found, err
 }
 
-// request is one call before it is sent.
+// request is one call on its way.
 type request struct {
-	method, path string
-	query        url.Values
-	// body is encoded as JSON; nil for none.
-	body any
+	Call
+	// key is that of a call about one object.
+	key string
 	// timeout is zero for the client's default.
 	timeout time.Duration
 }
 
 func (r request) write() bool {
-	return r.method != http.MethodGet
+	return r.Method != http.MethodGet
 }
 
-// noAnswer returns the error of a request that was sent and got no usable answer.
+// noAnswer is the error of a call that was sent and whose answer is missing or
+// of no use.
 func (r request) noAnswer() error {
 	if r.write() {
 		return ErrUnknown
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -89,3 +89,11 @@
 	}
 	return nil
 }
+
+// checkWrite refuses writes that can't be sent as they are.
+func checkWrite(key string, value []byte) (err error) {
+	if err = checkKey(key); err != nil {
+		return err
+	}
+	return checkValue(value)
+}
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -14,12 +13,8 @@
 	"time"
 )
 
-// call waits for its turn, sends the request and decodes the answer.
-func (c *Client) call(ctx context.Context, r request, answer any) (err error) {
-	body, err := r.encode()
-	if err != nil {
-		return err
-	}
+// call waits for its turn, sends the request and has the answer read.
+func (c *Client) call(ctx context.Context, r request, read func(data []byte) error) (err error) {
 	timeout := r.timeout
 	if timeout == 0 {
 		timeout = c.options.Timeout
@@ -30,7 +25,7 @@
 	c.calls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	response, err := c.send(ctx, r, body)
+	response, err := c.send(ctx, r)
 	if err != nil {
 		return err
 	}
@@ -41,15 +36,19 @@
 		return c.cutShort(r, response.StatusCode, err)
 	case len(data) > maxAnswerSize:
 		return fmt.Errorf("%w: answer exceeds %d bytes", r.noAnswer(), maxAnswerSize)
-	case response.StatusCode != http.StatusOK:
-		return r.refusal(response.StatusCode, data)
+	case !succeeded(response.StatusCode):
+		return c.refusal(r, response.StatusCode, data)
 	}
-	if err = json.Unmarshal(data, answer); err != nil {
+	if err = read(data); err != nil {
 		return fmt.Errorf("%w: answer: %w", r.noAnswer(), err)
 	}
 	return nil
 }
 
+func succeeded(status int) bool {
+	return status == http.StatusOK || status == http.StatusCreated || status == http.StatusNoContent
+}
+
 // waitTurn waits for the budget, no longer than the call itself may take.
 func (c *Client) waitTurn(ctx context.Context, timeout time.Duration) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -57,30 +56,20 @@
 	return c.options.Budget.Wait(ctx)
 }
 
-func (r request) encode() (body []byte, err error) {
-	if r.body == nil {
-		return nil, nil
-	}
-	if body, err = json.Marshal(r.body); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
-	return body, nil
-}
-
 // send sends the request and returns the answer with its body unread.
-func (c *Client) send(ctx context.Context, r request, body []byte) (response *http.Response, err error) {
+func (c *Client) send(ctx context.Context, r request) (response *http.Response, err error) {
 	// connected turns true when the request got a connection: from then on
 	// bytes of it may have been sent.
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	target := url.URL{Scheme: "http", Host: c.options.Address.String(), Path: r.path, RawQuery: r.query.Encode()}
+	target := url.URL{Scheme: "http", Host: c.options.Address.String(), Path: r.Path, RawQuery: r.Query.Encode()}
 	hr, err := http.NewRequestWithContext(
-		httptrace.WithClientTrace(ctx, trace), r.method, target.String(), bytes.NewReader(body))
+		httptrace.WithClientTrace(ctx, trace), r.Method, target.String(), bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	hr.Header.Set("User-Agent", "arbutusstep/"+string(c.options.Host))
-	if body != nil {
+	if r.Body != nil {
 		hr.Header.Set("Content-Type", "application/json")
 	}
 	response, err = c.transport.RoundTrip(hr)
@@ -98,10 +87,10 @@
 // tells the outcome even so, but not the values.
 func (c *Client) cutShort(r request, status int, cause error) (err error) {
 	c.dropIdle(cause)
-	if status == http.StatusOK {
+	if succeeded(status) {
 		return fmt.Errorf("%w: %w", r.noAnswer(), cause)
 	}
-	return r.refusal(status, nil)
+	return c.refusal(r, status, nil)
 }
 
 // dropIdle closes the idle connections after a timeout: what made one
@@ -113,29 +102,23 @@
 }
 
 // refusal returns the error that a status stands for.
-func (r request) refusal(status int, data []byte) (err error) {
-	var body struct {
-		Error    string  `json:"error"`
-		Current  *object `json:"current"`
-		Revision uint64  `json:"revision"`
-	}
-	// A body that is no JSON, or cut short, leaves the status to speak alone.
-	_ = json.Unmarshal(data, &body)
+func (c *Client) refusal(r request, status int, data []byte) (err error) {
+	told := c.options.Form.ReadRefusal(r.key, data)
 	switch status {
 	case http.StatusNotFound:
 		return ErrNotFound
 	case http.StatusConflict:
-		conflict := &ConflictError{Known: body.Current != nil}
-		if body.Current != nil {
-			conflict.Current = Object(*body.Current)
+		conflict := &ConflictError{Known: told.Current != nil}
+		if told.Current != nil {
+			conflict.Current = *told.Current
 		}
 		return conflict
 	case http.StatusGone:
-		return &GoneError{Revision: body.Revision}
+		return &GoneError{Revision: told.Revision}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusMethodNotAllowed:
-		return fmt.Errorf("%w: status %d: %.200s", ErrInvalid, status, body.Error)
+		return fmt.Errorf("%w: status %d: %.200s", ErrInvalid, status, told.Reason)
 	}
 	return fmt.Errorf("%w: status %d", r.noAnswer(), status)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
-// Package store is the client of the platform's object API and the only place
-// in the system that knows its HTTP and JSON form, which docs/PLATFORM.md
-// describes.
+// Package store is the client of the platform's object API: its budget of
+// calls, its timeouts and what its failures mean. How calls are written is a
+// Form; that of docs/PLATFORM.md is Keyed.
 //
 // It uses net/http in place of hertz, because a call of hertz's client cannot
 // be cancelled in flight: its HostClient.Do looks at the context only between
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/sock"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
@@ -79,6 +80,8 @@
 	Budget *Budget
 	// Dialer opens connections; nil means plain TCP.
 	Dialer Dialer
+	// Form is how calls are written; nil means Keyed.
+	Form Form
 }
 
 // Client calls the object API. It is safe for concurrent use.
@@ -104,7 +107,10 @@
 		options.Budget = new(Budget)
 	}
 	if options.Dialer == nil {
-		options.Dialer = plainDialer{}
+		options.Dialer = sock.Dialer{}
+	}
+	if options.Form == nil {
+		options.Form = Keyed{}
 	}
 	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return options.Dialer.Dial(ctx, options.Address)
@@ -128,11 +134,3 @@
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
 }
-
-// plainDialer dials TCP.
-type plainDialer struct{}
-
-// Dial implements Dialer.
-func (plainDialer) Dial(ctx context.Context, address netip.AddrPort) (conn net.Conn, err error) {
-	return new(net.Dialer).DialContext(ctx, "tcp", address.String())
-}
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -126,6 +126,47 @@
 	Slot int
 }
 
+// Want asks the far end to tell versions and records from now on.
+type Want struct {
+	// Version is what the sender holds; zero asks to be told it whole.
+	Version mesh.Version
+}
+
+// Pulse tells that the sender is there, and how fresh its word is.
+type Pulse struct {
+	// Version is what the sender holds.
+	Version mesh.Version
+	// Reached is true while the platform answers the sender.
+	Reached bool
+}
+
+// Document is one version of the routes.
+type Document struct {
+	Version mesh.Version
+	// Base is the version that the packing refers to; zero for none.
+	Base mesh.Version
+	// Packed is the document, compressed.
+	Packed []byte
+}
+
+// Roster tells the records of nodes.
+type Roster struct {
+	// Revision is the platform's that the entries are complete up to.
+	Revision uint64
+	// Whole is true when hosts that are not listed have no record.
+	Whole   bool
+	Entries []RosterEntry
+}
+
+// RosterEntry is what is known of one host's record.
+type RosterEntry struct {
+	Host mesh.HostID
+	// Version is that of the record in the platform.
+	Version uint64
+	// Record is as it lies in the platform; empty when it is gone.
+	Record []byte
+}
+
 func (Hello) message()   {}
 func (Beat) message()    {}
 func (Held) message()    {}
@@ -135,3 +176,7 @@
 func (Digests) message() {}
 func (Later) message()   {}
 func (Invite) message()  {}
+func (Want) message()     {}
+func (Pulse) message()    {}
+func (Document) message() {}
+func (Roster) message()   {}
--- a/internal/wire/talk.go
+++ b/internal/wire/talk.go
@@ -36,6 +36,16 @@
 		return &Control{Body: &Control_Later{Later: &Later{AfterMicros: m.After.Microseconds()}}}
 	case talk.Invite:
 		return &Control{Body: &Control_Invite{Invite: &Invite{Slot: uint32(m.Slot)}}}
+	case talk.Want:
+		return &Control{Body: &Control_Want{Want: &Want{Version: uint64(m.Version)}}}
+	case talk.Pulse:
+		return &Control{Body: &Control_Pulse{Pulse: &Pulse{Version: uint64(m.Version), Reached: m.Reached}}}
+	case talk.Document:
+		return &Control{Body: &Control_Document{Document: &Document{
+			Version: uint64(m.Version), Base: uint64(m.Base), Packed: m.Packed,
+		}}}
+	case talk.Roster:
+		return &Control{Body: &Control_Roster{Roster: encodeRoster(m)}}
 	default:
 		panic(fmt.Sprintf("wire: no encoding for %T", message))
 	}
@@ -70,6 +80,16 @@
 			return nil, fmt.Errorf("relay slot %d exceeds %d", b.Invite.GetSlot(), maxRelaySlot)
 		}
 		return talk.Invite{Slot: int(b.Invite.GetSlot())}, nil
+	case *Control_Want:
+		return talk.Want{Version: mesh.Version(b.Want.GetVersion())}, nil
+	case *Control_Pulse:
+		return talk.Pulse{Version: mesh.Version(b.Pulse.GetVersion()), Reached: b.Pulse.GetReached()}, nil
+	case *Control_Document:
+		return talk.Document{
+			Version: mesh.Version(b.Document.GetVersion()), Base: mesh.Version(b.Document.GetBase()), Packed: b.Document.GetPacked(),
+		}, nil
+	case *Control_Roster:
+		return decodeRoster(b.Roster)
 	default:
 		return nil, fmt.Errorf("unknown kind")
 	}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,100 @@
+// Package fleet decides how the nodes of a mesh work together when each keeps
+// one record of itself in the platform: which record of a host stands, what an
+// upstream's word is worth, who reads versions for others, and which records
+// are swept. It does no I/O.
+package fleet
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"arbutusstep.example/arbutusstep/pkg/member"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+)
+
+// Node is what a node says of itself and of the upstream beside it.
+type Node struct {
+	// Host is unique in the mesh.
+	Host mesh.HostID
+	// Place says where Host stands.
+	Place mesh.Place
+	// Address is where the node takes sessions.
+	Address netip.AddrPort
+	// Trip is the time that a connection to the platform took, zero when it is
+	// not known; it tells who stands near the platform.
+	Trip time.Duration
+	// Leaving is true while the node stops.
+	Leaving bool
+	// Upstream has an empty Instance while there is none.
+	Upstream Upstream
+}
+
+// Upstream is one lifetime of the server beside a node.
+type Upstream struct {
+	// Instance names the lifetime, though not for ever: with a later Born it is another.
+	Instance string
+	// Born is when the lifetime began.
+	Born time.Time
+	// Sequence is that of the last word taken in.
+	Sequence uint64
+	Service  mesh.Service
+	Address  netip.AddrPort
+	State    member.State
+	// Slots is how many requests it runs at once; not negative.
+	Slots int
+	// Cold is how much longer it was slow after its start, when it said so.
+	Cold time.Duration
+}
+
+// Takes reports whether callers' nodes may send new work to the node.
+func (n *Node) Takes() bool {
+	if n.Leaving || n.Upstream.Instance == "" {
+		return false
+	}
+	return n.Upstream.State == member.Ready || n.Upstream.State == member.Warming
+}
+
+// nearMargin is by how much the trips to the platform of two nodes in its
+// region may differ; another region is further away.
+const nearMargin = 15 * time.Millisecond
+
+// Readers returns up to count nodes, chosen by rendezvous hashing, that read
+// versions for the others: those near the platform if any has told its trip.
+// Nodes that leave, and those that the caller holds to be out of reach, are
+// passed over.
+func Readers(nodes []Node, count int, out func(host mesh.HostID) bool) (readers []Node) {
+	pool := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return n.Leaving || out(n.Host) })
+	shortest := time.Duration(0)
+	for _, n := range pool {
+		if n.Trip > 0 && (shortest == 0 || n.Trip < shortest) {
+			shortest = n.Trip
+		}
+	}
+	if shortest > 0 {
+		pool = slices.DeleteFunc(pool, func(n Node) bool { return n.Trip == 0 || n.Trip > shortest+nearMargin })
+	}
+	slices.SortFunc(pool, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(weight(b.Host), weight(a.Host)), cmp.Compare(a.Host, b.Host))
+	})
+	return pool[:min(count, len(pool))]
+}
+
+// Sweeper returns the host that removes the record of a dead node: one of the
+// live ones, chosen by rendezvous hashing, so that few of them try at once.
+func Sweeper(dead mesh.HostID, live []mesh.HostID) (sweeper mesh.HostID) {
+	best := uint64(0)
+	for _, h := range live {
+		if w := weight(dead + "/" + h); sweeper == "" || w > best || w == best && h < sweeper {
+			sweeper, best = h, w
+		}
+	}
+	return sweeper
+}
+
+func weight(host mesh.HostID) uint64 {
+	return xxhash.Sum64String(string(host))
+}
--- /dev/null
+++ b/pkg/fleet/guest.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"time"
+
+	"arbutusstep.example/arbutusstep/pkg/member"
+)
+
+// Word is what an upstream says of itself in one call.
+type Word struct {
+	Upstream
+	// Farewell ends the lifetime, whatever its sequence.
+	Farewell bool
+}
+
+// Verdict says what became of a word.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Stale words say nothing new.
+	Stale Verdict = iota
+	// Renewed means that the word says what was known.
+	Renewed
+	// Changed means that the upstream's record is another now.
+	Changed
+)
+
+var verdictNames = [...]string{"stale", "renewed", "changed"}
+
+// String returns the name used in logs.
+func (v Verdict) String() string {
+	return verdictNames[v]
+}
+
+// Guest keeps what is known of the upstream beside a node, in the order of its
+// own lifetimes and words, whenever they arrive. The zero Guest knows none.
+type Guest struct {
+	// known is the last word that stood; its State never goes back within a lifetime.
+	known Upstream
+	// renewed is when a word last stood.
+	renewed time.Time
+	// silent is true after the lifetime's words stopped for too long.
+	silent bool
+}
+
+// Known returns what is known of the upstream.
+func (g *Guest) Known() Upstream {
+	return g.known
+}
+
+// Recall takes in what an earlier process of this node had recorded. It binds
+// until the upstream speaks again, and admits no work by itself.
+func (g *Guest) Recall(recorded Upstream) {
+	if recorded.Instance == "" || later(g.known, recorded) {
+		return
+	}
+	if recorded.State == member.Ready || recorded.State == member.Warming {
+		recorded.State = member.Lost
+	}
+	if recorded.Instance == g.known.Instance && recorded.Born.Equal(g.known.Born) && g.known.State == member.Lost {
+		return
+	}
+	g.known = recorded
+	g.silent = true
+}
+
+// later reports whether a is of a later lifetime than b, or a later word of the same.
+func later(a, b Upstream) bool {
+	if !a.Born.Equal(b.Born) {
+		return a.Born.After(b.Born)
+	}
+	return a.Instance == b.Instance && a.Sequence >= b.Sequence
+}
+
+// Hear takes in a word. A lifetime that drains takes no new work again, and one
+// that left is never back.
+func (g *Guest) Hear(now time.Time, word Word) (verdict Verdict) {
+	same := word.Instance == g.known.Instance && (word.Born.Equal(g.known.Born) || word.Born.IsZero())
+	if !same {
+		return g.hearOther(now, word)
+	}
+	if word.Farewell {
+		return g.end(now)
+	}
+	if word.Sequence <= g.known.Sequence || g.known.State == member.Left {
+		return Stale
+	}
+	next := word.Upstream
+	if next.Born.IsZero() {
+		next.Born = g.known.Born
+	}
+	if g.known.State == member.Draining {
+		next.State = member.Draining
+	}
+	g.renewed, g.silent = now, false
+	return g.replace(next)
+}
+
+// hearOther takes in a word of another lifetime.
+func (g *Guest) hearOther(now time.Time, word Word) Verdict {
+	if word.Farewell || word.Born.Before(g.known.Born) {
+		return Stale
+	}
+	if word.Born.Equal(g.known.Born) && g.known.Instance != "" && g.known.State != member.Left && !g.silent {
+		return Stale
+	}
+	g.renewed, g.silent = now, false
+	return g.replace(word.Upstream)
+}
+
+// replace puts the next record in force and tells whether it says something new.
+func (g *Guest) replace(next Upstream) Verdict {
+	old := g.known
+	g.known = next
+	old.Sequence, old.Cold = next.Sequence, next.Cold
+	if old.Born.Equal(next.Born) {
+		old.Born = next.Born
+	}
+	if old == next {
+		return Renewed
+	}
+	return Changed
+}
+
+func (g *Guest) end(now time.Time) Verdict {
+	if g.known.State == member.Left {
+		return Renewed
+	}
+	g.known.State = member.Left
+	g.renewed = now
+	return Changed
+}
+
+// Expire calls the upstream lost when no word of it stood for so long; its next
+// word brings it back.
+func (g *Guest) Expire(now time.Time, after time.Duration) (changed bool) {
+	due := g.Due(after)
+	if due.IsZero() || now.Before(due) {
+		return false
+	}
+	g.silent = true
+	if g.known.State == member.Draining {
+		g.known.State = member.Left
+		return true
+	}
+	g.known.State = member.Lost
+	return true
+}
+
+// Due returns when the upstream expires; zero when it can't.
+func (g *Guest) Due(after time.Duration) time.Time {
+	if g.known.Instance == "" || g.silent || !g.known.State.Live() {
+		return time.Time{}
+	}
+	return g.renewed.Add(after)
+}
+
+// Unreachable calls the upstream lost until its next word, since connections to
+// it fail.
+func (g *Guest) Unreachable() (changed bool) {
+	if g.known.Instance == "" || !g.known.State.Live() {
+		return false
+	}
+	g.silent = true
+	if g.known.State != member.Draining {
+		g.known.State = member.Lost
+		return true
+	}
+	return false
+}
--- a/pkg/gate/limit.go
+++ b/pkg/gate/limit.go
@@ -43,6 +43,8 @@
 type limiter struct {
 	// slots is the upper bound; zero before configure and then at least 1.
 	slots int
+	// fixed keeps the limit at slots.
+	fixed bool
 	// value is at most slots; below 1 it counts as 1.
 	value float64
 	// coldSince is when the upstream was configured first.
@@ -97,6 +99,9 @@
 
 // current returns the limit, at least 1.
 func (l *limiter) current(now time.Time) int {
+	if l.fixed {
+		return max(l.slots, 1)
+	}
 	return max(int(min(l.value, l.warm(now))), 1)
 }
 
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -26,6 +26,11 @@
 	Floors [mesh.NumPriorities]int
 	// SlowStart is the time in which a cold upstream comes up to its slots; 0 means at once.
 	SlowStart time.Duration
+	// Fixed keeps the concurrency at Slots, for an upstream whose own count of
+	// slots is exact.
+	Fixed bool
+	// Foresight refuses work at once when what waits before it leaves it no time.
+	Foresight bool
 }
 
 // Queue decides which request gets one of an upstream's slots. It is not safe
@@ -52,6 +57,7 @@
 func (q *Queue) Configure(now time.Time, config Config) (settled []*Work) {
 	q.config = config
 	q.shares.configure(config.Floors)
+	q.limit.fixed = config.Fixed
 	q.limit.configure(now, q.slots(), config.SlowStart)
 	return q.Expire(now)
 }
@@ -68,7 +74,7 @@
 	switch {
 	case q.draining:
 		q.refuse(now, w, Draining)
-	case q.late(now, w):
+	case q.late(now, w), q.config.Foresight && q.hopeless(now, w):
 		q.refuse(now, w, Late)
 	case q.enqueue(now, w):
 		q.dispatch(now)
@@ -158,6 +164,24 @@
 	return isLate(now, w.Deadline, q.serviceTime(now, w.Priority))
 }
 
+// hopeless reports whether what goes first leaves the work no time.
+func (q *Queue) hopeless(now time.Time, w *Work) bool {
+	if w.Deadline.IsZero() || q.running < q.limit.current(now) {
+		return false
+	}
+	return isLate(now.Add(q.expectedWait(now, w.Priority)), w.Deadline, q.serviceTime(now, w.Priority))
+}
+
+// expectedWait estimates when work of that priority that came now would get a
+// slot: the slots become free one after the other, spread over a service time.
+func (q *Queue) expectedWait(now time.Time, priority mesh.Priority) (wait time.Duration) {
+	slots := time.Duration(q.limit.current(now))
+	for p := int(priority); p < len(q.lines); p++ {
+		wait += q.serviceTime(now, mesh.Priority(p)) * time.Duration(q.lines[p].len()) / slots
+	}
+	return wait + q.serviceTime(now, priority)/slots
+}
+
 // isLate reports whether less time remains than the work needs.
 func isLate(now, deadline time.Time, need time.Duration) bool {
 	return !deadline.IsZero() && deadline.Sub(now) < max(need, 1)
--- /dev/null
+++ b/pkg/pick/cheap.go
@@ -0,0 +1,170 @@
+package pick
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+)
+
+const (
+	// paceGain is the weight of a new sample in a host's pace.
+	paceGain = 0.15
+	// typicalGain is the weight of a new sample in a class's typical service time.
+	typicalGain = 0.05
+	// defaultService stands for the service time of a class without a sample.
+	defaultService = 100 * time.Millisecond
+	// tripGain is the weight of a new sample in the trip to a host.
+	tripGain = 0.2
+	// jitter spreads costs, so that nodes that know the same do not all choose
+	// the same host.
+	jitter = 0.15
+	// coldPace is the pace at which an upstream counts that just started.
+	coldPace = 2
+	// maxClasses bounds the classes whose typical times are kept.
+	maxClasses = 4096
+)
+
+// Places tells what it costs to go to another place, as time.
+type Places struct {
+	// Zone is for another zone of the region, and Region for another region.
+	Zone, Region time.Duration
+}
+
+// Cheap asks for the upstream that should answer soonest, all costs counted as time.
+type Cheap struct {
+	// Set holds the service's upstreams.
+	Set *Set
+	// From is where the caller's node stands.
+	From mesh.Place
+	// Tried lists the hosts not to choose again.
+	Tried []mesh.HostID
+	// Class names what takes about the same time everywhere, such as a rule.
+	Class string
+	// Places is what distance costs besides the trip.
+	Places Places
+}
+
+// Service is what an answer told of the work at its host.
+type Service struct {
+	// Class is that of the request.
+	Class string
+	// Work is how long the upstream worked, and AtNode how long the request was at
+	// its node; zero when not told.
+	Work, AtNode time.Duration
+}
+
+// Cheapest returns the host with the least expected cost, and what it expects
+// the answer to take. The error is a *NoneError when every one was tried.
+func (p *Picker) Cheapest(now time.Time, request Cheap) (candidate Candidate, expected time.Duration, err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	v := p.view(now, request.Set)
+	best, least, usable := -1, math.Inf(1), false
+	for i := range v.hosts {
+		c, h := &request.Set.candidates[i], v.hosts[i]
+		if slices.Contains(request.Tried, c.Host) {
+			continue
+		}
+		ok := h.usable(now)
+		if usable && !ok {
+			continue
+		}
+		cost := p.cost(now, c, h, &request) * (1 + jitter*float64(p.intN(chances))/chances)
+		if best < 0 || ok && !usable || cost < least {
+			best, least, usable = i, cost, usable || ok
+		}
+	}
+	if best < 0 {
+		return candidate, 0, &NoneError{Service: request.Set.ID(), Known: len(request.Set.Candidates()), Tried: len(request.Tried)}
+	}
+	c, h := &request.Set.candidates[best], v.hosts[best]
+	return *c, time.Duration(p.expected(now, c, h, request.Class)), nil
+}
+
+// cost is the expected time with what distance costs, in nanoseconds.
+func (p *Picker) cost(now time.Time, c *Candidate, h *host, request *Cheap) float64 {
+	cost := p.expected(now, c, h, request.Class)
+	switch {
+	case c.Place == request.From:
+	case c.Place.Region == request.From.Region:
+		cost += float64(request.Places.Zone)
+	default:
+		cost += float64(request.Places.Region)
+	}
+	return cost
+}
+
+// expected is the time until the answer, in nanoseconds: the work at the host's
+// pace, the wait for a slot, and the trip.
+func (p *Picker) expected(now time.Time, c *Candidate, h *host, class string) float64 {
+	service := float64(defaultService)
+	if t := p.typical[class]; t > 0 {
+		service = t
+	}
+	pace := h.pace
+	if pace == 0 {
+		pace = 1
+	}
+	if !c.Since.IsZero() && now.Sub(c.Since) < coldTime {
+		pace = max(pace, coldPace)
+	}
+	slots := float64(max(c.Slots, 1))
+	// The load that was reported holds this node's own requests of then.
+	busy := max(h.latestReport(now)*slots+float64(h.inFlight-h.inFlightThen), float64(h.inFlight))
+	wait := max(0, busy+1-slots) / slots
+	// A host that is nearly full answers slower and leaves no room for others.
+	crowd := busy / slots * crowding
+	return service*pace*(1+wait+crowd) + h.trip
+}
+
+const (
+	// coldTime is how long an upstream counts as just started.
+	coldTime = 4 * time.Second
+	// crowding is the part of the service time that a full host counts as slower.
+	crowding = 0.25
+)
+
+// latestReport returns the load last reported, which fades with its age.
+func (h *host) latestReport(now time.Time) float64 {
+	age := now.Sub(h.reportedAt)
+	if age >= reportLimit {
+		return 0
+	}
+	return h.latest * (1 - float64(age)/float64(reportLimit))
+}
+
+// learn takes in what an answer told of the work at its host.
+func (h *host) learn(p *Picker, total time.Duration, s Service) {
+	if s.Work <= 0 {
+		return
+	}
+	if p.typical == nil || len(p.typical) >= maxClasses {
+		p.typical = make(map[string]float64)
+	}
+	work := float64(s.Work)
+	typical := p.typical[s.Class]
+	if typical == 0 {
+		typical = work
+	}
+	ratio := min(max(work/typical, 0.1), 10)
+	if h.pace == 0 {
+		h.pace = 1
+	}
+	h.pace += paceGain * (ratio - h.pace)
+	p.typical[s.Class] = typical + typicalGain*(work-typical)
+	if trip := float64(total - s.AtNode); trip > 0 {
+		if h.trip == 0 {
+			h.trip = trip
+		}
+		h.trip += tripGain * (trip - h.trip)
+	}
+}
+
+// ExpectedOf returns the typical service time of a class, zero when unknown.
+func (p *Picker) ExpectedOf(class string) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return time.Duration(p.typical[class])
+}
--- a/pkg/pick/host.go
+++ b/pkg/pick/host.go
@@ -65,6 +65,14 @@
 	// latency is the mean in nanoseconds over samples.
 	latency float64
 	samples int
+	// pace is the mean ratio of the host's service times to the typical ones, zero
+	// before the first, and trip the mean time that requests are on their way, in
+	// nanoseconds.
+	pace, trip float64
+	// latest is the load last reported, as a fraction of the limit.
+	latest float64
+	// inFlightThen is what inFlight was when reported was last told.
+	inFlightThen int
 	// slowSince is when the host was first found slow in this spell, zero while it is not.
 	slowSince time.Time
 }
@@ -169,6 +177,8 @@
 func (h *host) observeLoad(now time.Time, percent int) {
 	h.reported += reportGain * (float64(percent)/100 - h.reported)
 	h.reportedAt = now
+	h.latest = float64(percent) / 100
+	h.inFlightThen = h.inFlight
 }
 
 // observe takes in the latency of an answer.
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -42,6 +42,8 @@
 	LoadPercent int
 	// HoldFor is how long the host asked to be left alone.
 	HoldFor time.Duration
+	// Service is what the answer told of the work; the zero Service says nothing.
+	Service Service
 }
 
 // NoneError says that no upstream is left to choose.
@@ -73,6 +75,9 @@
 	views map[mesh.ServiceID]*view
 	// link is guarded by mutex.
 	link link
+	// typical holds the mean service time of each class in nanoseconds; guarded by
+	// mutex.
+	typical map[string]float64
 }
 
 // view joins a set with what is known of its hosts.
@@ -136,6 +141,7 @@
 	f.picker.mutex.Lock()
 	defer f.picker.mutex.Unlock()
 	f.host.end(now, f.began, outcome)
+	f.host.learn(f.picker, outcome.Latency, outcome.Service)
 	f.picker.release(f.id, f.host)
 }
 
