Check the service at the gate, refuse early, and repeat failures only where a host stands out

Cause: a node got the address of one that was gone, and callers' nodes sent it calls for the old service (ROUTE); a repeat of a request whose calls failed made those calls again, so repeats went past the bound (BUDGET, 953 arrivals where 677 were allowed); a stopping proxy took requests while it ended (LOST); work waited at the gate until it was late.

Change: a gate takes only calls for its own service, and the last record of an address counts; failures are repeated only from a host that fails more than its peers; the listener closes before the last wait; work is refused at once when what waits before it leaves no time to start.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -263,6 +263,18 @@
 	return nodes
 }
 
+// Holds reports whether a node is the last that recorded its address: another
+// host may have got the address of one that is gone.
+func (r *Roster) Holds(n fleet.Node) bool {
+	version := r.entries[n.Host].Version
+	for _, e := range r.entries {
+		if e.Node.Address == n.Address && e.Version > version {
+			return false
+		}
+	}
+	return true
+}
+
 // Hosts lists the hosts that have a record, sorted.
 func (r *Roster) Hosts() (hosts []mesh.HostID) {
 	for _, n := range r.Nodes() {
--- a/internal/ctrl/sight.go
+++ b/internal/ctrl/sight.go
@@ -56,7 +56,7 @@
 	candidates := make(map[mesh.Service][]pick.Candidate)
 	live := make(map[string]bool)
 	for _, n := range roster.Nodes() {
-		if !n.Takes() {
+		if !n.Takes() || !roster.Holds(n) {
 			continue
 		}
 		live[n.Upstream.Instance] = true
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -174,6 +174,11 @@
 	return requests
 }
 
+// Open returns how many connections are open.
+func (f *Front) Open() int {
+	return len(f.all())
+}
+
 // CloseIdle ends the connections that wait for a request, and the others once
 // they do.
 func (f *Front) CloseIdle() {
--- a/internal/proxy/apply.go
+++ b/internal/proxy/apply.go
@@ -27,7 +27,7 @@
 	if own.Slots > 0 {
 		p.gate.Configure(gate.Config{Slots: own.Slots, Floors: floors, Fixed: true, Foresight: true})
 	}
-	target := serve.Target{Instance: own.Instance}
+	target := serve.Target{Instance: own.Instance, Service: own.Service}
 	service, _ := traffic.Plan.Service(own.Service)
 	target.Connections = service.Connections
 	switch own.State {
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -78,13 +78,17 @@
 	return errors.Join(err, p.metrics.Close())
 }
 
-// finish closes callers' connections once they wait, and waits for the rest.
+// finish takes no more connections of callers, closes theirs once they wait,
+// and waits for the rest. What was not read then goes elsewhere.
 func (p *Proxy) finish(ctx context.Context) {
+	if err := p.callers.Close(); err != nil {
+		p.logger.Warn().Err(err).Msg("callersNotClosed")
+	}
 	ticker := time.NewTicker(stopStep)
 	defer ticker.Stop()
 	for {
 		p.front.CloseIdle()
-		if p.front.Busy() == 0 {
+		if p.front.Open() == 0 {
 			return
 		}
 		select {
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -61,7 +61,8 @@
 
 // Gate decides when a call gets a slot of the upstream.
 type Gate interface {
-	Enter(ctx context.Context, priority mesh.Priority, deadline time.Time) (*gate.Ticket, error)
+	// EnterBy waits for a slot, which must come by startBy unless that is zero.
+	EnterBy(ctx context.Context, priority mesh.Priority, deadline, startBy time.Time) (*gate.Ticket, error)
 	Load() gate.Load
 }
 
@@ -104,7 +105,7 @@
 // ServeCall implements peer.CallHandler.
 func (h *Handler) ServeCall(ctx context.Context, call *peer.Call, reply peer.ReplyWriter) {
 	up := h.upstream.Load()
-	if up == nil {
+	if up == nil || !up.takes(call.Head.GetService()) {
 		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonNoUpstream, 0)
 		return
 	}
@@ -169,7 +170,11 @@
 func (h *Handler) run(ctx context.Context, v *visit) {
 	v.arrived = time.Now()
 	deadline, _ := ctx.Deadline()
-	ticket, err := h.Gate.Enter(ctx, mesh.Priority(v.call.Head.GetPriority()), deadline)
+	startBy := time.Time{}
+	if within := v.call.Head.GetStartWithinMicros(); within > 0 {
+		startBy = v.arrived.Add(time.Duration(within) * time.Microsecond)
+	}
+	ticket, err := h.Gate.EnterBy(ctx, mesh.Priority(v.call.Head.GetPriority()), deadline, startBy)
 	if err != nil {
 		var refused *gate.Refused
 		if !errors.As(err, &refused) {
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -17,6 +17,7 @@
 
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
 const (
@@ -56,6 +57,8 @@
 	Address netip.AddrPort
 	// Connections bounds the connections to it; zero means no bound.
 	Connections int
+	// Service is the one that it serves; empty takes calls for any.
+	Service mesh.Service
 	// Instance names its lifetime; empty when that is not told.
 	Instance string
 	// Until is when no further call may be sent to it; zero means no bound.
@@ -66,11 +69,18 @@
 type upstream struct {
 	conns    conns
 	form     Form
+	service  mesh.Service
 	instance string
 	// until is when no further call may be sent, nil for no bound.
 	until atomic.Pointer[time.Time]
 }
 
+// takes reports whether calls for the service are for this upstream. A caller's
+// node may know the address by a host that had it before.
+func (u *upstream) takes(service string) bool {
+	return u.service == "" || string(u.service) == service
+}
+
 // closed reports whether no further call may be sent.
 func (u *upstream) closed(now time.Time) bool {
 	until := u.until.Load()
@@ -92,7 +102,7 @@
 	}
 	var next *upstream
 	if target.Address.IsValid() {
-		next = &upstream{conns: conns{address: target.Address.String()}, form: h.form(), instance: target.Instance}
+		next = &upstream{conns: conns{address: target.Address.String()}, form: h.form(), service: target.Service, instance: target.Instance}
 		next.closeAt(target.Until)
 		if target.Connections > 0 {
 			next.conns.slots = make(chan struct{}, target.Connections)
@@ -105,7 +115,7 @@
 
 // serves reports whether the target differs from this one in its bound of time only.
 func (u *upstream) serves(target Target) bool {
-	return u.conns.address == target.Address.String() && u.instance == target.Instance && cap(u.conns.slots) == target.Connections
+	return u.conns.address == target.Address.String() && u.service == target.Service && u.instance == target.Instance && cap(u.conns.slots) == target.Connections
 }
 
 func (u *upstream) closeAt(until time.Time) {
--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,10 @@
 	// leastRetry and mostRetry bound the advice after other refusals.
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = 2 * time.Second
+	// waitShare and leastWaitShare bound the part of its time for which a request
+	// waits for a slot, in percent.
+	waitShare      = 50
+	leastWaitShare = 15
 	// maxAnswer bounds an upstream's answer, in bytes.
 	maxAnswer = 64 << 20
 	// zoneCost and regionCost are what distance costs a short answer, besides the
@@ -63,12 +68,14 @@
 		Failed:      !gone && !(failed.Reason == peer.ReasonDeadline && ctx.Err() != nil),
 		NotRun:      failed.Outcome == peer.NotRun,
 		Busy:        serve.Busy(failed.Reason),
+		Shed:        failed.Reason == serve.ReasonRefused,
 		LoadPercent: failed.LoadPercent,
 	}
 }
 
 // goesOn decides whether a failed request is offered to another host.
 func (s *Steerer) goesOn(ctx context.Context, j *job, failed *peer.CallError) bool {
+	j.last = failed
 	reached := failed.Outcome == peer.Unknown || failed.Reason == serve.ReasonRefused || failed.Reason == serve.ReasonMoved
 	if reached {
 		j.arrivals++
@@ -115,7 +122,7 @@
 	}
 	reason := ReasonNoUpstreams
 	retryAfter := noUpstreamRetry
-	if failed != nil {
+	if failed = cmp.Or(failed, j.last); failed != nil {
 		reason, retryAfter = failed.Reason, min(max(failed.RetryAfter, leastRetry), mostRetry)
 	}
 	switch {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -90,6 +90,8 @@
 	deadline time.Time
 	// unknown is set once an attempt may have run.
 	unknown bool
+	// last is the last failure of an attempt, nil when there was none.
+	last *peer.CallError
 	// kept is an upstream's failure that is passed on unless a repeat does better.
 	kept *front.Answer
 }
@@ -154,7 +156,7 @@
 		}
 		answer, failed := s.attempt(ctx, j, candidate)
 		if failed == nil {
-			if answer.Status < http.StatusInternalServerError || !j.rule.Kind.Repeatable() || !s.mayRepeat(j) {
+			if !s.worthRepeating(j, candidate.Host, answer.Status) {
 				return s.truthful(j, answer)
 			}
 			j.kept = answer
@@ -166,6 +168,26 @@
 	}
 }
 
+// worthRepeating reports whether a failure of the upstream's own is repeated at
+// another one, and counts the repeat if so.
+func (s *Steerer) worthRepeating(j *job, host mesh.HostID, status int) bool {
+	if status < http.StatusInternalServerError || !j.rule.Kind.Repeatable() {
+		return false
+	}
+	return s.Picker.StandsOut(j.traffic.Sets[j.service], host) && s.mayRepeat(j)
+}
+
+// startWithin returns how long a request may wait for its slot from now on: a
+// request that starts later would be of little use and keep others from theirs.
+func (s *Steerer) startWithin(j *job) time.Duration {
+	latest := j.end.Allowed * waitShare / 100
+	if j.rule.Target > 0 {
+		latest = min(latest, j.rule.Target-s.Picker.ExpectedOf(j.rule.Name))
+	}
+	latest = max(latest, j.end.Allowed*leastWaitShare/100)
+	return max(latest-time.Since(j.request.Arrived), time.Microsecond)
+}
+
 // placesOf tells what distance costs a request of the rule. Long answers are
 // dear on the way, and are kept near while that serves them.
 func placesOf(rule *plan.Rule) pick.Places {
@@ -218,7 +240,7 @@
 	head := &wire.CallHead{
 		Service: string(j.service), Method: j.request.Method, Path: j.request.Target, Headers: s.headers(j),
 		Priority: uint32(priorityOf(j.rule.Rank)), Idempotent: j.rule.Kind.Repeatable(), BodyLength: int64(len(j.request.Body)),
-		CallerRegion: string(s.Place.Region), Route: j.rule.Name, Id: j.end.ID,
+		CallerRegion: string(s.Place.Region), Route: j.rule.Name, Id: j.end.ID, StartWithinMicros: s.startWithin(j).Microseconds(),
 		Attempt: string(s.Host) + "-" + strconv.FormatUint(s.calls.Add(1), 36),
 	}
 	call := &peer.Call{Head: head, Fresh: len(j.tried) > 1, Body: bodyOf(j.request.Body)}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -66,7 +66,15 @@
 // Enter waits until the request gets a slot. A zero deadline means none. On an
 // error, which is always a *Refused, the request has not been handed over.
 func (g *Gate) Enter(ctx context.Context, priority mesh.Priority, deadline time.Time) (ticket *Ticket, err error) {
-	t := &Ticket{gate: g, work: Work{Priority: priority, Deadline: deadline}}
+	return g.EnterBy(ctx, priority, deadline, time.Time{})
+}
+
+// EnterBy is Enter for a request that must have its slot by some time; zero
+// means no bound.
+func (g *Gate) EnterBy(
+	ctx context.Context, priority mesh.Priority, deadline, startBy time.Time,
+) (ticket *Ticket, err error) {
+	t := &Ticket{gate: g, work: Work{Priority: priority, Deadline: deadline, StartBy: startBy}}
 	if ctx.Err() != nil {
 		return nil, &Refused{Reason: Cancelled}
 	}
--- a/pkg/gate/line.go
+++ b/pkg/gate/line.go
@@ -17,6 +17,9 @@
 	occupied time.Time
 	// soonest is the earliest deadline of works, zero when none has one.
 	soonest time.Time
+	// startBy is the earliest time by which one of works must start, zero when none
+	// is bound.
+	startBy time.Time
 }
 
 func (l *line) len() int {
@@ -29,6 +32,7 @@
 	}
 	l.works = append(l.works, w)
 	l.soonest = earliest(l.soonest, w.Deadline)
+	l.startBy = earliest(l.startBy, w.StartBy)
 }
 
 // newestFirst reports whether the line has become a standing queue.
@@ -36,17 +40,18 @@
 	return now.Sub(l.occupied) > standingAfter
 }
 
-// first returns the index of the work to serve next.
-func (l *line) first(now time.Time) int {
-	if l.newestFirst(now) {
+// first returns the index of the work to serve next; inOrder keeps to the order
+// of arrival however long the line stands.
+func (l *line) first(now time.Time, inOrder bool) int {
+	if !inOrder && l.newestFirst(now) {
 		return len(l.works) - 1
 	}
 	return 0
 }
 
 // last returns the index of the work that would be served last.
-func (l *line) last(now time.Time) int {
-	if l.newestFirst(now) {
+func (l *line) last(now time.Time, inOrder bool) int {
+	if !inOrder && l.newestFirst(now) {
 		return 0
 	}
 	return len(l.works) - 1
@@ -61,6 +66,12 @@
 			l.soonest = earliest(l.soonest, o.Deadline)
 		}
 	}
+	if !w.StartBy.IsZero() && w.StartBy.Equal(l.startBy) {
+		l.startBy = time.Time{}
+		for _, o := range l.works {
+			l.startBy = earliest(l.startBy, o.StartBy)
+		}
+	}
 	return w
 }
 
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -29,7 +29,8 @@
 	// Fixed keeps the concurrency at Slots, for an upstream whose own count of
 	// slots is exact.
 	Fixed bool
-	// Foresight refuses work at once when what waits before it leaves it no time.
+	// Foresight refuses work at once when what waits before it leaves it no time,
+	// and so serves what waits in the order of its arrival.
 	Foresight bool
 }
 
@@ -134,6 +135,9 @@
 			margin := q.serviceTime(now, mesh.Priority(p))
 			next = earliest(next, soonest.Add(1-margin))
 		}
+		if startBy := q.lines[p].startBy; !startBy.IsZero() {
+			next = earliest(next, startBy.Add(1))
+		}
 	}
 	return earliest(next, q.limit.nextRise(now))
 }
@@ -159,17 +163,24 @@
 	return q.times[priority].get(now, q.limit.pace)
 }
 
-// late reports whether the work can no longer finish in time.
+// late reports whether the work can no longer start or finish in time.
 func (q *Queue) late(now time.Time, w *Work) bool {
+	if !w.StartBy.IsZero() && now.After(w.StartBy) {
+		return true
+	}
 	return isLate(now, w.Deadline, q.serviceTime(now, w.Priority))
 }
 
 // hopeless reports whether what goes first leaves the work no time.
 func (q *Queue) hopeless(now time.Time, w *Work) bool {
-	if w.Deadline.IsZero() || q.running < q.limit.current(now) {
+	if q.running < q.limit.current(now) {
 		return false
 	}
-	return isLate(now.Add(q.expectedWait(now, w.Priority)), w.Deadline, q.serviceTime(now, w.Priority))
+	start := now.Add(q.expectedWait(now, w.Priority))
+	if !w.StartBy.IsZero() && start.After(w.StartBy) {
+		return true
+	}
+	return isLate(start, w.Deadline, q.serviceTime(now, w.Priority))
 }
 
 // expectedWait estimates when work of that priority that came now would get a
@@ -225,12 +236,12 @@
 func (q *Queue) displace(now time.Time, arriving mesh.Priority) (displaced bool) {
 	for p := range int(arriving) {
 		if q.lines[p].len() > q.reserved(p) {
-			q.refuse(now, q.take(q.lines[p].last(now), p), Displaced)
+			q.refuse(now, q.take(q.lines[p].last(now, q.config.Foresight), p), Displaced)
 			return true
 		}
 	}
 	own := &q.lines[arriving]
-	if own.len() > 0 && own.newestFirst(now) {
+	if own.len() > 0 && own.newestFirst(now) && !q.config.Foresight {
 		q.refuse(now, q.take(0, int(arriving)), Displaced)
 		return true
 	}
@@ -247,7 +258,7 @@
 func (q *Queue) dispatch(now time.Time) {
 	for q.count > 0 && q.running < q.limit.current(now) {
 		p := q.shares.next(&q.lines)
-		w := q.take(q.lines[p].first(now), p)
+		w := q.take(q.lines[p].first(now, q.config.Foresight), p)
 		if q.late(now, w) {
 			q.refuse(now, w, Late)
 			continue
@@ -264,8 +275,11 @@
 	for p := range q.lines {
 		l := &q.lines[p]
 		need := q.serviceTime(now, mesh.Priority(p))
-		for i := l.len() - 1; i >= 0 && isLate(now, l.soonest, need); i-- {
-			if w := l.works[i]; isLate(now, w.Deadline, need) {
+		if !isLate(now, l.soonest, need) && (l.startBy.IsZero() || !now.After(l.startBy)) {
+			continue
+		}
+		for i := l.len() - 1; i >= 0; i-- {
+			if w := l.works[i]; q.late(now, w) {
 				q.refuse(now, q.take(i, p), Late)
 			}
 		}
--- a/pkg/gate/work.go
+++ b/pkg/gate/work.go
@@ -77,6 +77,8 @@
 	Priority mesh.Priority
 	// Deadline is zero when there is none.
 	Deadline time.Time
+	// StartBy is when the work must have got its slot, zero for no bound.
+	StartBy time.Time
 
 	state   State
 	refused Refused
--- a/pkg/pick/cheap.go
+++ b/pkg/pick/cheap.go
@@ -116,10 +116,45 @@
 	wait := max(0, busy+1-slots) / slots
 	// A host that is nearly full answers slower and leaves no room for others.
 	crowd := busy / slots * crowding
-	return service*pace*(1+wait+crowd) + h.trip
+	return service*pace*(1+wait+crowd) + h.trip + h.failRate*float64(failCost)
+}
+
+// noteFailure takes in whether the upstream failed or refused a request.
+func (h *host) noteFailure(failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	h.failRate += failGain * (sample - h.failRate)
+}
+
+// StandsOut reports whether a host fails requests clearly more often than the
+// others of the set; when all fail alike, the cause is elsewhere.
+func (p *Picker) StandsOut(set *Set, id mesh.HostID) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	own, sum, others := 0.0, 0.0, 0
+	for _, c := range set.Candidates() {
+		h := p.hosts[c.Host]
+		switch {
+		case h == nil:
+		case c.Host == id:
+			own = h.failRate
+		default:
+			sum += h.failRate
+			others++
+		}
+	}
+	return others > 0 && own > standOut*sum/float64(others)
 }
 
 const (
+	// failGain is the weight of a new sample in the rate of failures.
+	failGain = 0.1
+	// failCost is what a certain failure costs.
+	failCost = 600 * time.Millisecond
+	// standOut is by how much a host's rate of failures must exceed the others'.
+	standOut = 2
 	// coldTime is how long an upstream counts as just started.
 	coldTime = 4 * time.Second
 	// crowding is the part of the service time that a full host counts as slower.
@@ -135,6 +170,14 @@
 	return h.latest * (1 - float64(age)/float64(reportLimit))
 }
 
+// tell takes in how a flight ended.
+func (h *host) tell(p *Picker, o Outcome) {
+	if o.Shed || !o.NotRun && !o.Busy {
+		h.noteFailure(o.Shed || o.Failed)
+	}
+	h.learn(p, o.Latency, o.Service)
+}
+
 // learn takes in what an answer told of the work at its host.
 func (h *host) learn(p *Picker, total time.Duration, s Service) {
 	if s.Work <= 0 {
--- a/pkg/pick/host.go
+++ b/pkg/pick/host.go
@@ -69,6 +69,8 @@
 	// before the first, and trip the mean time that requests are on their way, in
 	// nanoseconds.
 	pace, trip float64
+	// failRate is the mean share of requests that the upstream failed or refused.
+	failRate float64
 	// latest is the load last reported, as a fraction of the limit.
 	latest float64
 	// inFlightThen is what inFlight was when reported was last told.
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -34,6 +34,8 @@
 	// time. The host is well, and more urgent work may still get in: Failed and
 	// HoldFor count for nothing.
 	Busy bool
+	// Shed is true when the upstream itself refused the request.
+	Shed bool
 	// NotRun is true when the upstream was never handed the request.
 	NotRun bool
 	// Latency is the time that the host took, zero when unknown.
@@ -141,7 +143,7 @@
 	f.picker.mutex.Lock()
 	defer f.picker.mutex.Unlock()
 	f.host.end(now, f.began, outcome)
-	f.host.learn(f.picker, outcome.Latency, outcome.Service)
+	f.host.tell(f.picker, outcome)
 	f.picker.release(f.id, f.host)
 }
 
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -13,7 +13,7 @@
 	// windowShare is the part of the bound that is used, in percent: calls that a
 	// repeated request makes count as repeats too, and other nodes count a little
 	// otherwise.
-	windowShare = 60
+	windowShare = 45
 )
 
 // Allowance says how many repeats all nodes together may send to a service.
