Hold watches for little more than a second

Change: a watch is held for 1.2 s and given up 0.6 s later.

A keep-alive cannot see it, since the far end is there.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -46,8 +46,11 @@
 	silence = 1500 * time.Millisecond
 	// platformTimeout bounds one call to the platform other than a watch.
 	platformTimeout = 1500 * time.Millisecond
-	// watchWait is how long the platform may hold a watch without news.
-	watchWait = 10 * time.Second
+	// watchWait is how long the platform may hold a watch without news, and
+	// watchGrace how much later its answer may come. A watch that the platform has
+	// dropped shows only by that.
+	watchWait  = 1200 * time.Millisecond
+	watchGrace = 600 * time.Millisecond
 	// platformBurst is how many calls to the platform may be made at once.
 	platformBurst = 40
 	// dialTimeout bounds a dial to another proxy.
@@ -164,7 +167,7 @@
 	p.trip.dialer = sock.Dialer{Silence: silence}
 	p.store = store.New(store.Options{
 		Address: settings.Platform, Host: settings.Host, Form: p.platform.Objects, Dialer: &p.trip,
-		Timeout: platformTimeout, Wait: watchWait,
+		Timeout: platformTimeout, Wait: watchWait, Grace: watchGrace,
 		Budget: &store.Budget{Rate: settings.Limits.PlatformRate, Burst: platformBurst},
 	})
 	kinds := depot.Kinds{Versions: p.platform.Versions, Records: p.platform.Records}
