Stop reading before the end of a planned stop, and answer what was read

Change: a stopping front reads no further request, answers what it read and closes; the time kept for that is the longest timeout in force; a stop that hangs ends with the process.

Conclusion: kept; tests of the front cover order, limits, a caller that goes away, and the stop.

--- a/internal/cmds/proxy.go
+++ b/internal/cmds/proxy.go
@@ -120,7 +120,15 @@
 	p.Leave()
 	ctx, cancel := context.WithDeadline(context.Background(), p.StopBy(begun))
 	defer cancel()
-	err := p.Stop(ctx)
+	done := make(chan error, 1)
+	go func() { done <- p.Stop(ctx) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		// What still runs ends with the process.
+		err = ctx.Err()
+	}
 	logger.Info().AnErr("error", err).Dur("took", time.Since(begun)).Msg("stopped")
 	return err
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,7 +115,7 @@
 	mutex sync.Mutex
 	// lanes holds the open connections; guarded by mutex.
 	lanes map[*lane]struct{}
-	// stopping ends connections once they wait for a request; guarded by mutex.
+	// stopping keeps further requests from being read; guarded by mutex.
 	stopping bool
 }
 
@@ -179,14 +179,14 @@
 	return len(f.all())
 }
 
-// CloseIdle ends the connections that wait for a request, and the others once
-// they do.
-func (f *Front) CloseIdle() {
+// StopReading takes in no further request: connections end once what was read
+// on them is answered.
+func (f *Front) StopReading() {
 	f.mutex.Lock()
 	f.stopping = true
 	f.mutex.Unlock()
 	for _, l := range f.all() {
-		l.closeIdle()
+		l.stopReading()
 	}
 }
 
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,223 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/wire"
+)
+
+// paths answers each request with its path, method and body, when the path's
+// channel says so.
+type paths struct {
+	// started gets the path of each request that arrives.
+	started chan string
+	// release holds the channels that answers wait for, by path.
+	release map[string]chan struct{}
+	// gone gets the path of each request whose caller went away.
+	gone chan string
+}
+
+func newPaths(held ...string) *paths {
+	p := &paths{started: make(chan string, 64), release: make(map[string]chan struct{}), gone: make(chan string, 64)}
+	for _, path := range held {
+		p.release[path] = make(chan struct{})
+	}
+	return p
+}
+
+// Handle implements front.Handler.
+func (p *paths) Handle(ctx context.Context, request *front.Request) *front.Answer {
+	p.started <- request.Path
+	if wait := p.release[request.Path]; wait != nil {
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			p.gone <- request.Path
+		}
+	}
+	body := fmt.Sprintf("%s %s %s %s", request.Method, request.Target, request.Field("x-one"), request.Body)
+	return &front.Answer{Status: http.StatusOK, Body: []byte(body), Length: int64(len(body)), Headers: []*wire.Header{
+		{Name: "Passed", Value: fmt.Sprint(len(request.Headers))},
+	}}
+}
+
+// Malformed implements front.Handler.
+func (p *paths) Malformed(status int, reason string) *front.Answer {
+	return &front.Answer{Status: status, Body: []byte(reason), Length: int64(len(reason))}
+}
+
+// serve serves callers by the front and returns a dialler.
+func serve(t *testing.T, f *front.Front) (dial func() (net.Conn, *bufio.Reader)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h := f.NewServer(listener)
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run() }()
+	t.Cleanup(func() {
+		assert.NilError(t, listener.Close())
+		f.StopReading()
+		<-ended
+	})
+	return func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn, bufio.NewReader(conn)
+	}
+}
+
+// next reads the next answer of a connection.
+func next(t *testing.T, reader *bufio.Reader) (response *http.Response, body string) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response, string(data)
+}
+
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n"
+}
+
+func TestRequestsOfOneConnectionRunTogetherAndAreAnsweredInOrder(t *testing.T) {
+	handler := newPaths("/slow", "/slower")
+	dial := serve(t, &front.Front{Handler: handler})
+	conn, reader := dial()
+	_, err := io.WriteString(conn, get("/slower")+get("/slow")+get("/quick"))
+	assert.NilError(t, err)
+	seen := map[string]bool{}
+	for range 3 {
+		seen[<-handler.started] = true
+	}
+	assert.Assert(t, seen["/slower"] && seen["/slow"] && seen["/quick"])
+	close(handler.release["/slow"])
+	close(handler.release["/slower"])
+	for _, path := range []string{"/slower", "/slow", "/quick"} {
+		_, body := next(t, reader)
+		assert.Equal(t, body, "GET "+path+"  ")
+	}
+}
+
+func TestWhatIsReadIsPassedOnAsItCame(t *testing.T) {
+	tests := []struct {
+		name string
+		raw  string
+		want string
+	}{
+		{name: "target with query and escapes", raw: get("/a%2Fb/?x=%20&y"), want: "GET /a%2Fb/?x=%20&y  "},
+		{name: "header", raw: "GET / HTTP/1.1\r\nHost: a\r\nX-One: 1\r\n\r\n", want: "GET / 1 "},
+		{name: "body with a length", raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", want: "POST /  body"},
+		{name: "body in chunks", raw: "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n", want: "POST /  body"},
+		{name: "length and chunks", raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", want: "POST /  body"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			dial := serve(t, &front.Front{Handler: newPaths()})
+			conn, reader := dial()
+			_, err := io.WriteString(conn, tt.raw)
+			assert.NilError(t, err)
+			_, body := next(t, reader)
+			assert.Equal(t, body, tt.want)
+		})
+	}
+}
+
+func TestMalformedRequestsEndTheirConnectionAlone(t *testing.T) {
+	limits := func() front.Limits {
+		return front.Limits{Header: 400, Body: 10, HeaderTime: 100 * time.Millisecond}
+	}
+	tests := []struct {
+		name string
+		raw  string
+		want int
+	}{
+		{name: "no request line", raw: "hello\r\n\r\n", want: http.StatusBadRequest},
+		{name: "no host", raw: "GET / HTTP/1.1\r\n\r\n", want: http.StatusBadRequest},
+		{name: "target that is no path", raw: "GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", want: http.StatusBadRequest},
+		{name: "long header section", raw: "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 500) + "\r\n\r\n", want: http.StatusRequestHeaderFieldsTooLarge},
+		{name: "long body", raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\nhello world", want: http.StatusRequestEntityTooLarge},
+		{name: "slow header section", raw: "GET / HTTP/1.1\r\nHost", want: http.StatusRequestTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			dial := serve(t, &front.Front{Handler: newPaths(), Limits: limits})
+			other, otherReader := dial()
+			conn, reader := dial()
+			_, err := io.WriteString(conn, tt.raw)
+			assert.NilError(t, err)
+			response, _ := next(t, reader)
+			assert.Equal(t, response.StatusCode, tt.want)
+			assert.Assert(t, response.Close)
+			_, err = io.WriteString(other, get("/"))
+			assert.NilError(t, err)
+			response, _ = next(t, otherReader)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+func TestCallerThatGoesAwayEndsItsRequests(t *testing.T) {
+	handler := newPaths("/one", "/two")
+	dial := serve(t, &front.Front{Handler: handler})
+	conn, _ := dial()
+	_, err := io.WriteString(conn, get("/one")+get("/two"))
+	assert.NilError(t, err)
+	<-handler.started
+	<-handler.started
+	assert.NilError(t, conn.Close())
+	seen := map[string]bool{<-handler.gone: true, <-handler.gone: true}
+	assert.Assert(t, seen["/one"] && seen["/two"])
+}
+
+func TestStopAnswersWhatWasReadAndReadsNoMore(t *testing.T) {
+	handler := newPaths("/held")
+	f := &front.Front{Handler: handler}
+	dial := serve(t, f)
+	idle, idleReader := dial()
+	_, err := io.WriteString(idle, get("/first"))
+	assert.NilError(t, err)
+	next(t, idleReader)
+	busy, busyReader := dial()
+	_, err = io.WriteString(busy, get("/held"))
+	assert.NilError(t, err)
+	<-handler.started
+	assert.Equal(t, <-handler.started, "/held")
+	f.StopReading()
+	_, err = idleReader.ReadByte()
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	_, err = io.WriteString(busy, get("/late"))
+	assert.NilError(t, err)
+	close(handler.release["/held"])
+	response, body := next(t, busyReader)
+	assert.Equal(t, body, "GET /held  ")
+	assert.Assert(t, response.Close)
+	_, err = busyReader.ReadByte()
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	select {
+	case path := <-handler.started:
+		t.Fatalf("%s was taken after the stop", path)
+	default:
+	}
+}
+
+func TestLeavingFrontSendsCallersAway(t *testing.T) {
+	dial := serve(t, &front.Front{Handler: newPaths(), Leaving: func() bool { return true }})
+	conn, reader := dial()
+	_, err := io.WriteString(conn, get("/"))
+	assert.NilError(t, err)
+	response, _ := next(t, reader)
+	assert.Assert(t, response.Close)
+}
--- a/internal/front/lane.go
+++ b/internal/front/lane.go
@@ -90,7 +90,9 @@
 	for {
 		idle := l.front.limits().IdleTime
 		l.mutex.Lock()
-		if l.closing || l.front.isStopping() && len(l.turns) == 0 {
+		if l.closing || l.front.isStopping() {
+			// What was read is answered; what comes now goes elsewhere.
+			l.closing = true
 			l.mutex.Unlock()
 			l.work.Wait()
 			return false
@@ -102,18 +104,16 @@
 		l.mutex.Lock()
 		l.reading = false
 		busy := len(l.turns) > 0
-		closing := l.closing
+		closing := l.closing || l.front.isStopping()
 		l.mutex.Unlock()
 		if err == nil && !closing {
 			return true
 		}
 		var timeout net.Error
 		if err == nil || errors.Is(err, errs.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout() {
-			if busy && !closing {
+			if busy || closing {
 				continue
 			}
-			// What runs is answered before the connection is closed.
-			l.work.Wait()
 			return false
 		}
 		return false
@@ -307,12 +307,11 @@
 	return len(l.turns)
 }
 
-// closeIdle ends the connection if it waits for a request.
-func (l *lane) closeIdle() {
+// stopReading ends the wait for a request; what was read is still answered.
+func (l *lane) stopReading() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.reading && len(l.turns) == 0 {
-		l.closing = true
+	if l.reading {
 		_ = l.conn.SetReadDeadline(past)
 	}
 }
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// leaveShare is the part of the time for a stop after which the proxy takes no
-	// more requests, in percent.
-	leaveShare = 80
+	// answerShare bounds the part of the time for a stop that is kept to answer what
+	// was taken, in percent; within it, that is the longest timeout in force.
+	answerShare = 50
 	// endShare is the part of the time for a stop after which what runs is cut, in
 	// percent.
 	endShare = 95
@@ -31,7 +31,8 @@
 func (p *Proxy) Leave() {
 	begun := time.Now()
 	p.cells.Ordered.Post(cells.Drain)
-	last := begun.Add(p.settings.Load().Stop * leaveShare / 100)
+	stop := p.settings.Load().Stop
+	last := p.StopBy(begun).Add(-min(p.cells.Traffic.Load().Plan.Longest(), stop*answerShare/100))
 	busy := begun
 	ticker := time.NewTicker(stopStep)
 	defer ticker.Stop()
@@ -87,7 +88,7 @@
 	ticker := time.NewTicker(stopStep)
 	defer ticker.Stop()
 	for {
-		p.front.CloseIdle()
+		p.front.StopReading()
 		if p.front.Open() == 0 {
 			return
 		}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -212,6 +212,17 @@
 	return slices.Sorted(maps.Keys(p.services))
 }
 
+// Longest returns the longest timeout of a rule.
+func (p *Plan) Longest() (longest time.Duration) {
+	if p == nil {
+		return 0
+	}
+	for _, r := range p.rules {
+		longest = max(longest, r.Timeout)
+	}
+	return longest
+}
+
 // Rules returns every rule, sorted by host and prefix.
 func (p *Plan) Rules() []*Rule {
 	if p == nil {
