--- a/internal/ctrl/sweep.go
+++ b/internal/ctrl/sweep.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// sweepInterval is the time between two looks for dead nodes.
+	// lookInterval is the time between two looks for dead nodes.
 	lookInterval = 2 * time.Second
 	// unlinkedTime is how long a node may have no link to a reader before that
 	// dials it.
--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,190 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusstep.example/arbutusstep/pkg/fleet"
+	"arbutusstep.example/arbutusstep/pkg/member"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+)
+
+var (
+	start  = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	first  = start.Add(-time.Hour)
+	second = start.Add(-time.Minute)
+)
+
+func word(instance string, born time.Time, sequence uint64, state member.State) fleet.Word {
+	return fleet.Word{Upstream: fleet.Upstream{
+		Instance: instance, Born: born, Sequence: sequence, State: state, Service: "orders", Slots: 9,
+	}}
+}
+
+func farewell(instance string) fleet.Word {
+	return fleet.Word{Upstream: fleet.Upstream{Instance: instance}, Farewell: true}
+}
+
+func TestGuestTakesWordsInTheOrderOfLifetimes(t *testing.T) {
+	ready, draining := member.Ready, member.Draining
+	tests := []struct {
+		name     string
+		recorded fleet.Upstream
+		words    []fleet.Word
+		verdicts []fleet.Verdict
+		instance string
+		state    member.State
+	}{
+		{
+			name:  "first word",
+			words: []fleet.Word{word("i", first, 1, ready)}, verdicts: []fleet.Verdict{fleet.Changed}, instance: "i", state: ready,
+		},
+		{
+			name:     "renewal",
+			words:    []fleet.Word{word("i", first, 1, ready), word("i", first, 2, ready)},
+			verdicts: []fleet.Verdict{fleet.Changed, fleet.Renewed}, instance: "i", state: ready,
+		},
+		{
+			name:     "late word after draining",
+			words:    []fleet.Word{word("i", first, 5, draining), word("i", first, 4, ready)},
+			verdicts: []fleet.Verdict{fleet.Changed, fleet.Stale}, instance: "i", state: draining,
+		},
+		{
+			name:     "draining does not end",
+			words:    []fleet.Word{word("i", first, 5, draining), word("i", first, 6, ready)},
+			verdicts: []fleet.Verdict{fleet.Changed, fleet.Renewed}, instance: "i", state: draining,
+		},
+		{
+			name:     "word after the farewell",
+			words:    []fleet.Word{word("i", first, 1, ready), farewell("i"), word("i", first, 9, ready)},
+			verdicts: []fleet.Verdict{fleet.Changed, fleet.Changed, fleet.Stale}, instance: "i", state: member.Left,
+		},
+		{
+			name:     "later lifetime under another name",
+			words:    []fleet.Word{word("i", first, 9, ready), word("k", second, 1, ready), word("i", first, 10, ready)},
+			verdicts: []fleet.Verdict{fleet.Changed, fleet.Changed, fleet.Stale}, instance: "k", state: ready,
+		},
+		{
+			name:     "later lifetime under the same name counts anew",
+			words:    []fleet.Word{word("i", first, 9, draining), word("i", second, 1, ready), word("i", first, 10, draining)},
+			verdicts: []fleet.Verdict{fleet.Changed, fleet.Changed, fleet.Stale}, instance: "i", state: ready,
+		},
+		{
+			name:     "farewell of another lifetime",
+			words:    []fleet.Word{word("k", second, 1, ready), farewell("i")},
+			verdicts: []fleet.Verdict{fleet.Changed, fleet.Stale}, instance: "k", state: ready,
+		},
+		{
+			name:     "late word to a process that recalls the farewell",
+			recorded: fleet.Upstream{Instance: "i", Born: first, Sequence: 7, State: member.Left, Service: "orders"},
+			words:    []fleet.Word{word("i", first, 6, ready)}, verdicts: []fleet.Verdict{fleet.Stale}, instance: "i", state: member.Left,
+		},
+		{
+			name:     "newer word to a process that recalls a ready upstream",
+			recorded: fleet.Upstream{Instance: "i", Born: first, Sequence: 7, State: ready, Service: "orders", Slots: 9},
+			words:    []fleet.Word{word("i", first, 8, ready)}, verdicts: []fleet.Verdict{fleet.Changed}, instance: "i", state: ready,
+		},
+		{
+			name:     "recalled upstream takes no work by itself",
+			recorded: fleet.Upstream{Instance: "i", Born: first, Sequence: 7, State: ready, Service: "orders"}, instance: "i", state: member.Lost,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var g fleet.Guest
+			g.Recall(tt.recorded)
+			for i, w := range tt.words {
+				assert.Equal(t, g.Hear(start.Add(time.Duration(i)*time.Second), w), tt.verdicts[i], "word %d", i)
+			}
+			assert.Equal(t, g.Known().Instance, tt.instance)
+			assert.Equal(t, g.Known().State, tt.state)
+		})
+	}
+}
+
+func TestRecallYieldsToALaterWordAndBindsAnEarlierOne(t *testing.T) {
+	tests := []struct {
+		name     string
+		heard    fleet.Word
+		recorded fleet.Upstream
+		want     member.State
+	}{
+		{
+			name: "word newer than the record", heard: word("i", first, 9, member.Ready),
+			recorded: fleet.Upstream{Instance: "i", Born: first, Sequence: 8, State: member.Ready}, want: member.Ready,
+		},
+		{
+			name: "late word, the record says draining", heard: word("i", first, 3, member.Ready),
+			recorded: fleet.Upstream{Instance: "i", Born: first, Sequence: 8, State: member.Draining}, want: member.Draining,
+		},
+		{
+			name: "word of a later lifetime", heard: word("k", second, 1, member.Ready),
+			recorded: fleet.Upstream{Instance: "i", Born: first, Sequence: 8, State: member.Left}, want: member.Ready,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var g fleet.Guest
+			g.Hear(start, tt.heard)
+			g.Recall(tt.recorded)
+			assert.Equal(t, g.Known().State, tt.want)
+		})
+	}
+}
+
+func TestSilentGuestIsLostUntilItSpeaks(t *testing.T) {
+	var g fleet.Guest
+	g.Hear(start, word("i", first, 1, member.Ready))
+	assert.Assert(t, !g.Expire(start.Add(2*time.Second), 3*time.Second))
+	assert.Assert(t, g.Expire(start.Add(3*time.Second), 3*time.Second))
+	assert.Equal(t, g.Known().State, member.Lost)
+	assert.Equal(t, g.Hear(start.Add(4*time.Second), word("i", first, 2, member.Ready)), fleet.Changed)
+	assert.Assert(t, g.Unreachable())
+	assert.Equal(t, g.Known().State, member.Lost)
+	assert.Assert(t, g.Due(time.Second).IsZero())
+}
+
+// nodes returns that many nodes near the platform and far from it.
+func nodes(near, far int) (list []fleet.Node) {
+	for i := range near + far {
+		trip := 2 * time.Millisecond
+		if i >= near {
+			trip = 60 * time.Millisecond
+		}
+		list = append(list, fleet.Node{Host: mesh.HostID(fmt.Sprintf("n%02d", i)), Trip: trip})
+	}
+	return list
+}
+
+func TestReadersStandNearThePlatform(t *testing.T) {
+	nobody := func(mesh.HostID) bool { return false }
+	tests := []struct {
+		name  string
+		nodes []fleet.Node
+		out   func(mesh.HostID) bool
+		want  int
+		near  bool
+	}{
+		{name: "near ones first", nodes: nodes(4, 8), out: nobody, want: 2, near: true},
+		{name: "far ones alone", nodes: nodes(0, 8), out: nobody, want: 2},
+		{name: "near ones out of reach", nodes: nodes(2, 8), out: func(h mesh.HostID) bool { return h < "n02" }, want: 2},
+		{name: "fewer than wanted", nodes: nodes(1, 0), out: nobody, want: 1, near: true},
+		{name: "none", out: nobody},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			readers := fleet.Readers(tt.nodes, 2, tt.out)
+			assert.Equal(t, len(readers), tt.want)
+			for _, r := range readers {
+				assert.Equal(t, r.Trip < 10*time.Millisecond, tt.near)
+			}
+		})
+	}
+	all := nodes(6, 0)
+	before := fleet.Readers(all, 2, nobody)
+	without := fleet.Readers(all, 2, func(h mesh.HostID) bool { return h == before[0].Host })
+	assert.Equal(t, without[0].Host, before[1].Host, "the other reader stays")
+}
