Let records gather before the next watch

Change: a follower of records waits 250 ms after some were told; a started proxy waits 1.2 s for a reader instead of 0.6 s.

--- a/internal/ctrl/feed.go
+++ b/internal/ctrl/feed.go
@@ -17,7 +17,7 @@
 	// turns to the platform itself.
 	pulseLimit = 700 * time.Millisecond
 	// startWait is how long a started proxy waits for a reader's pulse first.
-	startWait = 600 * time.Millisecond
+	startWait = 1200 * time.Millisecond
 	// readerOut is how long a reader that could not be linked is passed over.
 	readerOut = 3 * time.Second
 	// freshHold is for how long a reader must be fresh before this proxy stops
--- a/internal/ctrl/guest.go
+++ b/internal/ctrl/guest.go
@@ -86,11 +86,16 @@
 	known := g.known.Known()
 	if verdict != fleet.Renewed {
 		g.Noted.Send(cells.Note{Event: "upstreamWord", Fields: []cells.Field{
-			{Name: "verdict", Value: verdict.String()}, {Name: "instance", Value: s.Word.Instance},
-			{Name: "born", Value: s.Word.Born}, {Name: "sequence", Value: s.Word.Sequence},
-			{Name: "said", Value: s.Word.State.String()}, {Name: "farewell", Value: s.Word.Farewell},
-			{Name: "knownInstance", Value: known.Instance}, {Name: "knownSequence", Value: known.Sequence},
-			{Name: "state", Value: known.State.String()}, {Name: "service", Value: string(known.Service)},
+			{Name: "verdict", Value: verdict.String()},
+			{Name: "instance", Value: s.Word.Instance},
+			{Name: "born", Value: s.Word.Born},
+			{Name: "sequence", Value: s.Word.Sequence},
+			{Name: "said", Value: s.Word.State.String()},
+			{Name: "farewell", Value: s.Word.Farewell},
+			{Name: "knownInstance", Value: known.Instance},
+			{Name: "knownSequence", Value: known.Sequence},
+			{Name: "state", Value: known.State.String()},
+			{Name: "service", Value: string(known.Service)},
 		}})
 	}
 	if verdict == fleet.Stale || !leaves(known.State) {
--- a/internal/ctrl/take.go
+++ b/internal/ctrl/take.go
@@ -92,14 +92,19 @@
 	}
 	t.Held.Set(cells.Held{Plan: made, Data: data, Since: now, From: from})
 	t.Noted.Send(cells.Note{Event: "versionInForce", Fields: []cells.Field{
-		{Name: "version", Value: uint64(made.Version())}, {Name: "before", Value: uint64(held.Plan.Version())},
-		{Name: "from", Value: string(from)}, {Name: "bytes", Value: len(data)}, {Name: "rules", Value: len(made.Rules())},
+		{Name: "version", Value: uint64(made.Version())},
+		{Name: "before", Value: uint64(held.Plan.Version())},
+		{Name: "from", Value: string(from)},
+		{Name: "bytes", Value: len(data)},
+		{Name: "rules", Value: len(made.Rules())},
 	}})
 }
 
 func (t *take) note(event string, version mesh.Version, from mesh.HostID, err error) {
 	t.Noted.Send(cells.Note{Event: event, Fields: []cells.Field{
-		{Name: "version", Value: uint64(version)}, {Name: "inForce", Value: uint64(t.Held.Get().Plan.Version())},
-		{Name: "from", Value: string(from)}, {Name: "reason", Value: textOf(err)},
+		{Name: "version", Value: uint64(version)},
+		{Name: "inForce", Value: uint64(t.Held.Get().Plan.Version())},
+		{Name: "from", Value: string(from)},
+		{Name: "reason", Value: textOf(err)},
 	}})
 }
--- a/internal/ctrl/tell.go
+++ b/internal/ctrl/tell.go
@@ -128,17 +128,20 @@
 
 // pack packs the version in force against what the far end holds, if that is
 // still known here.
-func (t *tell) pack(has mesh.Version) (base mesh.Version, packed []byte, err error) {
+func (t *tell) pack(has mesh.Version) (mesh.Version, []byte, error) {
+	base := mesh.Version(0)
 	var dictionary []byte
 	for _, old := range t.library {
 		if has != 0 && old.Plan.Version() == has {
 			base, dictionary = has, old.Data
 		}
 	}
-	if packed, done := t.packed[base]; done {
+	packed, done := t.packed[base]
+	if done {
 		return base, packed, nil
 	}
-	if packed, err = t.forms.Pack(t.Held.Get().Data, dictionary); err != nil {
+	packed, err := t.forms.Pack(t.Held.Get().Data, dictionary)
+	if err != nil {
 		return 0, nil, err
 	}
 	t.packed[base] = packed
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -23,6 +23,9 @@
 	writeTime = 700 * time.Millisecond
 	// listTime bounds one list.
 	listTime = 1500 * time.Millisecond
+	// gatherTime is how long records gather after some were told, so that many
+	// that change together cost each follower one call.
+	gatherTime = 250 * time.Millisecond
 )
 
 // Objects is what this package asks of the platform.
@@ -121,6 +124,7 @@
 		}
 		if err == nil {
 			backoff.Reset()
+			d.gather(ctx, kind)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -136,6 +140,19 @@
 	}
 }
 
+// gather waits until more records may have changed; versions are asked for at once.
+func (d *Driver) gather(ctx context.Context, kind cells.ObjectKind) {
+	if kind != cells.Records {
+		return
+	}
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // list tells every object of a kind.
 func (d *Driver) list(ctx context.Context, kind cells.ObjectKind) (revision uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTime)
--- a/internal/proxy/apply.go
+++ b/internal/proxy/apply.go
@@ -83,21 +83,21 @@
 
 // Status describes a proxy to operators.
 type Status struct {
-	Host      mesh.HostID  `json:"host"`
-	Phase     string       `json:"phase"`
-	Version   mesh.Version `json:"version"`
-	Since     time.Time    `json:"since"`
-	From      mesh.HostID  `json:"from,omitempty"`
-	Reason    string       `json:"reason,omitempty"`
-	Reading   bool         `json:"reading"`
-	Reached   bool         `json:"reached"`
-	Nodes     int          `json:"nodes"`
-	Upstream  string       `json:"upstream,omitempty"`
-	State     string       `json:"state,omitempty"`
-	Running   int          `json:"running"`
-	Waiting   int          `json:"waiting"`
-	Slots     int          `json:"slots"`
-	Unanswerd int          `json:"unanswered"`
+	Host       mesh.HostID  `json:"host"`
+	Phase      string       `json:"phase"`
+	Version    mesh.Version `json:"version"`
+	Since      time.Time    `json:"since"`
+	From       mesh.HostID  `json:"from,omitempty"`
+	Reason     string       `json:"reason,omitempty"`
+	Reading    bool         `json:"reading"`
+	Reached    bool         `json:"reached"`
+	Nodes      int          `json:"nodes"`
+	Upstream   string       `json:"upstream,omitempty"`
+	State      string       `json:"state,omitempty"`
+	Running    int          `json:"running"`
+	Waiting    int          `json:"waiting"`
+	Slots      int          `json:"slots"`
+	Unanswered int          `json:"unanswered"`
 }
 
 // Status describes the proxy.
@@ -107,7 +107,7 @@
 		Host: p.settings.Load().Host, Phase: string(p.cells.Phase.Load()), Version: held.Plan.Version(), Since: held.Since,
 		From: held.From, Reason: held.Reason, Reading: p.cells.Reading.Load(), Reached: p.cells.Reached.Load().OK,
 		Nodes: traffic.Nodes, Upstream: traffic.Own.Instance, State: traffic.Own.State.String(),
-		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Unanswerd: p.front.Busy(),
+		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Unanswered: p.front.Busy(),
 	}
 }
 
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -179,7 +179,7 @@
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	var response *http.Response
 	if err = x.write(request); err == nil {
-		response, err = x.read(request)
+		response, err = x.read(request) //nolint:bodyclose // closing the body of the answer that is returned gives the connection back
 	}
 	if err != nil {
 		x.finish(false)
--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -64,8 +64,9 @@
 // outcomeOf tells the picker how a failed call ended.
 func outcomeOf(ctx context.Context, failed *peer.CallError) pick.Outcome {
 	gone := errors.Is(ctx.Err(), context.Canceled)
+	expired := failed.Reason == peer.ReasonDeadline && ctx.Err() != nil
 	return pick.Outcome{
-		Failed:      !gone && !(failed.Reason == peer.ReasonDeadline && ctx.Err() != nil),
+		Failed:      !gone && !expired,
 		NotRun:      failed.Outcome == peer.NotRun,
 		Busy:        serve.Busy(failed.Reason),
 		Shed:        failed.Reason == serve.ReasonRefused,
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -202,7 +202,7 @@
 	j.tried = append(j.tried, candidate.Host)
 	start := time.Now()
 	flight := s.Picker.Begin(start, candidate.Host)
-	outcome := pick.Outcome{}
+	var outcome pick.Outcome
 	reply, err := s.call(ctx, j, candidate)
 	var body []byte
 	if err == nil {
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -167,15 +167,15 @@
 	Record []byte
 }
 
-func (Hello) message()   {}
-func (Beat) message()    {}
-func (Held) message()    {}
-func (Config) message()  {}
-func (Members) message() {}
-func (Relays) message()  {}
-func (Digests) message() {}
-func (Later) message()   {}
-func (Invite) message()  {}
+func (Hello) message()    {}
+func (Beat) message()     {}
+func (Held) message()     {}
+func (Config) message()   {}
+func (Members) message()  {}
+func (Relays) message()   {}
+func (Digests) message()  {}
+func (Later) message()    {}
+func (Invite) message()   {}
 func (Want) message()     {}
 func (Pulse) message()    {}
 func (Document) message() {}
