--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -22,7 +22,10 @@
 // joins each yamux header with the payload that follows it in one write.
 type conn struct {
 	net.Conn
-	// heard is when bytes last arrived, in Unix nanoseconds.
+	// begun is when the connection was wrapped, with its reading of the steady clock.
+	begun time.Time
+	// heard is when bytes last arrived, in nanoseconds since begun, so that a step
+	// of the time of day does not count.
 	heard    atomic.Int64
 	sent     atomic.Uint64
 	received atomic.Uint64
@@ -31,22 +34,21 @@
 }
 
 func newConn(c net.Conn) *conn {
-	wrapped := &conn{Conn: c}
-	wrapped.heard.Store(time.Now().UnixNano())
+	wrapped := &conn{Conn: c, begun: time.Now()}
 	limitUnsent(c)
 	return wrapped
 }
 
 // heardAt returns when bytes last arrived.
 func (c *conn) heardAt() time.Time {
-	return time.Unix(0, c.heard.Load())
+	return c.begun.Add(time.Duration(c.heard.Load()))
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(data []byte) (n int, err error) {
 	n, err = c.Conn.Read(data)
 	if n > 0 {
-		c.heard.Store(time.Now().UnixNano())
+		c.heard.Store(int64(time.Since(c.begun)))
 		c.received.Add(uint64(n))
 	}
 	return n, err
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -164,6 +164,7 @@
 func (p *Proxy) connect() {
 	settings := p.settings.Load()
 	p.metrics = meter.New(map[string]string{"host": string(settings.Host), "zone": string(settings.Zone)})
+	p.ends.start(p.logger, p.metrics.Scope)
 	p.trip.dialer = sock.Dialer{Silence: silence}
 	p.store = store.New(store.Options{
 		Address: settings.Platform, Host: settings.Host, Form: p.platform.Objects, Dialer: &p.trip,
@@ -201,8 +202,6 @@
 // startTraffic serves other proxies and callers.
 func (p *Proxy) startTraffic() {
 	settings := p.settings.Load()
-	p.ends = recorder{logger: p.logger, metrics: p.metrics.Scope}
-	p.ends.start()
 	p.steerer.View, p.steerer.Caller, p.steerer.Local = view{&p.cells}, &p.pool, &peer.Local{Handler: &p.handler}
 	p.steerer.Form, p.steerer.Recorder = p.platform.Headers, &p.ends
 	p.steerer.Host, p.steerer.Place = settings.Host, p.place()
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -40,7 +40,9 @@
 	skipped atomic.Uint64
 }
 
-func (r *recorder) start() {
+// start prepares the recorder; it is called before the control thread runs.
+func (r *recorder) start(logger zerolog.Logger, metrics tally.Scope) {
+	r.logger, r.metrics = logger, metrics
 	histogram := func(outcome string) tally.Histogram {
 		return r.metrics.Tagged(map[string]string{"outcome": outcome}).Histogram("request_seconds", latencies)
 	}
--- /dev/null
+++ b/internal/steer/steer_test.go
@@ -0,0 +1,233 @@
+package steer_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/serve"
+	"arbutusstep.example/arbutusstep/internal/steer"
+	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
+	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/retry"
+)
+
+// form marks requests by plain headers.
+type form struct{}
+
+func (form) ID(field func(string) string) string { return field("id") }
+
+func (form) Timeout(field func(string) string) (time.Duration, error) {
+	if field("timeout") == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(field("timeout"))
+}
+
+func (form) Sets(name string) bool                              { return name == "origin" }
+func (form) Origin(service mesh.Service) (name, value string)   { return "origin", string(service) }
+func (form) Echo(id string) (name, value string)                { return "id", id }
+func (f fixed) Traffic() cells.ProxyTraffic                     { return f.traffic }
+func (e *ends) Record(end steer.End)                            { e.last = end }
+func (noLocal) Call(context.Context, *peer.Call) (*peer.Reply, error) { panic("no upstream here") }
+
+type (
+	fixed   struct{ traffic cells.ProxyTraffic }
+	ends    struct{ last steer.End }
+	noLocal struct{}
+)
+
+// outcome is how one call ends.
+type outcome struct {
+	status  uint32
+	body    string
+	failed  *peer.CallError
+	waits   bool
+	headers []*wire.Header
+}
+
+// script ends calls in order, and keeps what was sent.
+type script struct {
+	mutex    sync.Mutex
+	outcomes []outcome
+	calls    []*wire.CallHead
+}
+
+// Call implements steer.Caller.
+func (s *script) Call(ctx context.Context, _ netip.AddrPort, call *peer.Call) (*peer.Reply, error) {
+	s.mutex.Lock()
+	s.calls = append(s.calls, call.Head)
+	next := s.outcomes[min(len(s.calls)-1, len(s.outcomes)-1)]
+	s.mutex.Unlock()
+	switch {
+	case next.waits:
+		<-ctx.Done()
+		reason := peer.ReasonDeadline
+		if ctx.Err() == context.Canceled {
+			reason = peer.ReasonCanceled
+		}
+		return nil, &peer.CallError{Outcome: peer.Unknown, Reason: reason, Err: ctx.Err()}
+	case next.failed != nil:
+		return nil, next.failed
+	}
+	return &peer.Reply{
+		Head: &wire.ReplyHead{Status: next.status, BodyLength: int64(len(next.body)), Headers: next.headers},
+		Body: io.NopCloser(strings.NewReader(next.body)),
+	}, nil
+}
+
+// newSteerer returns a steerer whose calls end by the script.
+func newSteerer(t *testing.T, kind plan.Kind, attempts int, s *script) (*steer.Steerer, *ends) {
+	t.Helper()
+	made, err := plan.New(5, plan.Limits{}, []plan.Service{{Name: "orders"}}, []*plan.Rule{{
+		Name: "r", Host: "a.example", Prefix: "/o/", Kind: kind, Rank: 1, Timeout: 200 * time.Millisecond, Attempts: attempts,
+		Parts: []plan.Part{{Service: "orders", Weight: 1}},
+	}})
+	assert.NilError(t, err)
+	var candidates []pick.Candidate
+	for _, host := range []mesh.HostID{"h1", "h2", "h3", "h4", "h5"} {
+		candidates = append(candidates, pick.Candidate{Host: host, Node: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 9})
+	}
+	told := &ends{}
+	st := &steer.Steerer{
+		View: fixed{cells.ProxyTraffic{Plan: made, Nodes: 1, Sets: map[mesh.Service]*pick.Set{
+			"orders": pick.NewSet(mesh.ServiceID{Service: "orders"}, candidates),
+		}}},
+		Caller: s, Local: noLocal{}, Form: form{}, Recorder: told, Host: "here", Service: func() mesh.Service { return "front" },
+	}
+	st.Budget.Configure(retry.Allowance{Span: 10 * time.Second, Ratio: 0.2, Slack: 50})
+	return st, told
+}
+
+func request(path string, fields map[string]string) *front.Request {
+	r := &front.Request{
+		Method: "POST", Host: "a.example", Path: path, Target: path + "?q=1", Body: []byte("body"), Arrived: time.Now(),
+		Field: func(name string) string { return fields[name] },
+	}
+	for name, value := range fields {
+		r.Headers = append(r.Headers, &wire.Header{Name: name, Value: value})
+	}
+	return r
+}
+
+func notRun(reason string) outcome {
+	return outcome{failed: &peer.CallError{Outcome: peer.NotRun, Reason: reason, RetryAfter: 300 * time.Millisecond}}
+}
+
+func unknown(reason string) outcome {
+	return outcome{failed: &peer.CallError{Outcome: peer.Unknown, Reason: reason}}
+}
+
+func TestRequestsAreRepeatedOnlyWhereThatDoesNoHarm(t *testing.T) {
+	ok := outcome{status: 200, body: "fine"}
+	tests := []struct {
+		name     string
+		kind     plan.Kind
+		attempts int
+		outcomes []outcome
+		status   int
+		calls    int
+		retry    bool
+	}{
+		{name: "answered", attempts: 2, outcomes: []outcome{ok}, status: 200, calls: 1},
+		{name: "unknown, idempotent", attempts: 2, outcomes: []outcome{unknown(peer.ReasonSession), ok}, status: 200, calls: 2},
+		{name: "unknown, once", kind: plan.Once, attempts: 2, outcomes: []outcome{unknown(peer.ReasonSession), ok}, status: 502, calls: 1},
+		{name: "not run, once", kind: plan.Once, attempts: 1, outcomes: []outcome{notRun(peer.ReasonDial), ok}, status: 200, calls: 2},
+		{name: "not run, then unknown, once", kind: plan.Once, attempts: 2, outcomes: []outcome{notRun(peer.ReasonDial), unknown(peer.ReasonSession), ok}, status: 502, calls: 2},
+		{name: "shed counts as an attempt", kind: plan.Once, attempts: 1, outcomes: []outcome{notRun(serve.ReasonRefused), ok}, status: 503, calls: 1, retry: true},
+		{name: "shed and room for another", kind: plan.Once, attempts: 2, outcomes: []outcome{notRun(serve.ReasonRefused), ok}, status: 200, calls: 2},
+		{name: "attempts used up", attempts: 2, outcomes: []outcome{unknown("a"), unknown("b"), ok}, status: 502, calls: 2},
+		{name: "refused by every gate", attempts: 2, outcomes: []outcome{notRun("gate-late")}, status: 503, calls: 4, retry: true},
+		{name: "failure of one host, idempotent", attempts: 2, outcomes: []outcome{{status: 500}, ok}, status: 200, calls: 2},
+		{name: "failure, once", kind: plan.Once, attempts: 2, outcomes: []outcome{{status: 500}, ok}, status: 500, calls: 1},
+		{name: "failure twice", attempts: 2, outcomes: []outcome{{status: 500}, {status: 500}}, status: 500, calls: 2},
+		{name: "status that would promise too much", kind: plan.Once, attempts: 1, outcomes: []outcome{{status: 503}}, status: 502, calls: 1},
+		{name: "client error is an answer", attempts: 2, outcomes: []outcome{{status: 409}}, status: 409, calls: 1},
+		{name: "no answer in time", attempts: 2, outcomes: []outcome{{waits: true}}, status: 504, calls: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{outcomes: tt.outcomes}
+			st, told := newSteerer(t, tt.kind, tt.attempts, s)
+			answer := st.Handle(t.Context(), request("/o/x", map[string]string{"id": "req-1"}))
+			assert.Equal(t, answer.Status, tt.status)
+			assert.Equal(t, len(s.calls), tt.calls)
+			assert.Equal(t, told.last.Status, tt.status)
+			assert.Equal(t, len(told.last.Attempts), tt.calls)
+			headers := make(map[string]string)
+			for _, h := range answer.Headers {
+				headers[h.GetName()] = h.GetValue()
+			}
+			assert.Equal(t, headers["Retry-After"] != "", tt.retry)
+			if told.last.Reason != "" {
+				assert.Equal(t, headers["id"], "req-1")
+			}
+		})
+	}
+}
+
+func TestRequestsWithoutARuleOrAVersionAreAnsweredHere(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		fields map[string]string
+		noPlan bool
+		status int
+	}{
+		{name: "no rule", path: "/x/", status: http.StatusNotFound},
+		{name: "no version", path: "/o/x", noPlan: true, status: http.StatusServiceUnavailable},
+		{name: "timeout that can't be read", path: "/o/x", fields: map[string]string{"timeout": "soon"}, status: http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{outcomes: []outcome{{status: 200}}}
+			st, _ := newSteerer(t, plan.Idempotent, 1, s)
+			if tt.noPlan {
+				st.View = fixed{}
+			}
+			assert.Equal(t, st.Handle(t.Context(), request(tt.path, tt.fields)).Status, tt.status)
+			assert.Equal(t, len(s.calls), 0)
+		})
+	}
+}
+
+func TestUpstreamGetsTheRequestAsItCameWithItsOrigin(t *testing.T) {
+	s := &script{outcomes: []outcome{{status: 200, body: "x"}}}
+	st, _ := newSteerer(t, plan.Idempotent, 1, s)
+	answer := st.Handle(t.Context(), request("/o/x", map[string]string{"id": "req-1", "origin": "forged", "other": "kept"}))
+	assert.Assert(t, bytes.Equal(answer.Body, []byte("x")))
+	head := s.calls[0]
+	assert.Equal(t, head.GetPath(), "/o/x?q=1")
+	assert.Equal(t, head.GetId(), "req-1")
+	assert.Equal(t, head.GetBodyLength(), int64(4))
+	headers := make(map[string][]string)
+	for _, h := range head.GetHeaders() {
+		headers[h.GetName()] = append(headers[h.GetName()], h.GetValue())
+	}
+	assert.DeepEqual(t, headers["origin"], []string{"front"})
+	assert.DeepEqual(t, headers["other"], []string{"kept"})
+	assert.Assert(t, head.GetStartWithinMicros() > 0)
+}
+
+func TestCallerThatLeavesEndsTheCall(t *testing.T) {
+	s := &script{outcomes: []outcome{{waits: true}}}
+	st, told := newSteerer(t, plan.Idempotent, 2, s)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	st.Handle(ctx, request("/o/x", nil))
+	assert.Equal(t, len(s.calls), 1)
+	assert.Assert(t, told.last.Gone)
+}
