Log calls without an answer at the upstream's node, and tell a request's story

Cause: the line on a request names its attempts, but what the gate held when it refused one stood nowhere, and the lines of one request lie in the logs of several proxies.

Change: the node of the upstream logs each call that it did not answer, with its id, the gate's load and the time left; an attempt's line has the expected time and the load told; arbutusstep explain ID FILE... prints the lines of one request in order.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -63,6 +63,7 @@
 		demoCommand,
 		nodeCommand,
 		proxyCommand,
+		explainCommand,
 		platformCommand,
 		upstreamCommand,
 		treeCommand,
--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -6,6 +6,7 @@
 	"flag"
 	"io"
 	"runtime/debug"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -83,5 +84,6 @@
 	if log.Format == "text" {
 		w = zerolog.ConsoleWriter{Out: w, NoColor: true}
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(w).Level(level).With().Timestamp().Logger()
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -177,7 +177,7 @@
 	p.pool.DialTimeout = dialTimeout
 	p.links = links.NewDriver(&p.pool, &p.cells.Links)
 	p.handler.Gate, p.handler.Form = &p.gate, p.platform.Headers
-	p.handler.Unreachable = p.unreachable
+	p.handler.Unreachable, p.handler.Unanswered = p.unreachable, p.ends.unanswered
 	p.peers.Calls, p.peers.Controls = &p.handler, p.links
 }
 
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -8,6 +8,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"arbutusstep.example/arbutusstep/internal/steer"
+	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/gate"
 )
 
 const (
@@ -79,11 +81,23 @@
 	return true
 }
 
+// unanswered logs a call that this node's upstream did not answer, with what
+// the gate held then.
+func (r *recorder) unanswered(head *wire.CallHead, outcome wire.Outcome, reason string, load gate.Load) {
+	if !r.admit() {
+		return
+	}
+	r.logger.Info().Str("id", head.GetId()).Str("attempt", head.GetAttempt()).Str("rule", head.GetRoute()).
+		Str("service", head.GetService()).Uint32("priority", head.GetPriority()).Bool("notRun", outcome == wire.Outcome_OUTCOME_NOT_RUN).
+		Str("reason", reason).Int("running", load.Running).Int("waiting", load.Waiting).Int("slots", load.Slots).
+		Dur("left", time.Duration(head.GetRemainingMicros())*time.Microsecond).Msg("call")
+}
+
 func (r *recorder) log(end steer.End) {
 	attempts := zerolog.Arr()
 	for _, a := range end.Attempts {
 		attempts = attempts.Dict(zerolog.Dict().Str("host", string(a.Host)).Str("outcome", a.Outcome).Str("reason", a.Reason).
-			Int("status", a.Status).Dur("took", a.Took).Dur("atNode", a.AtNode).Dur("work", a.Work))
+			Int("status", a.Status).Int("loadPercent", a.LoadPercent).Dur("expected", a.Expected).Dur("took", a.Took).Dur("atNode", a.AtNode).Dur("work", a.Work))
 	}
 	r.logger.Info().Str("id", end.ID).Str("method", end.Method).Str("for", end.Host).Str("path", end.Path).
 		Uint64("version", uint64(end.Version)).Str("rule", end.Rule).Str("service", string(end.Service)).Int("rank", end.Rank).
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -78,6 +78,10 @@
 	// nobody is. It must not block.
 	Unreachable func()
 
+	// Unanswered is told of each call without an answer, and of the gate's load
+	// then; nil means nobody is. It must not block.
+	Unanswered func(head *wire.CallHead, outcome wire.Outcome, reason string, load gate.Load)
+
 	// Form is how requests to the upstream are marked; nil means that of
 	// docs/INTERFACE.md. It must not change once SetTarget was called.
 	Form Form
@@ -106,15 +110,15 @@
 func (h *Handler) ServeCall(ctx context.Context, call *peer.Call, reply peer.ReplyWriter) {
 	up := h.upstream.Load()
 	if up == nil || !up.takes(call.Head.GetService()) {
-		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonNoUpstream, 0)
+		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonNoUpstream, 0)
 		return
 	}
 	if up.closed(time.Now()) {
-		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonLeaving, 0)
+		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonLeaving, 0)
 		return
 	}
 	if int(call.Head.GetPriority()) >= mesh.NumPriorities {
-		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonBadCall, 0)
+		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonBadCall, 0)
 		return
 	}
 	if keyed(call.Head) {
@@ -133,13 +137,13 @@
 // that no slot is held while a claim is written.
 func (h *Handler) serveKeyed(ctx context.Context, up *upstream, call *peer.Call, reply peer.ReplyWriter) {
 	if h.Claims == nil {
-		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonClaim, 0)
+		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonClaim, 0)
 		return
 	}
 	verdict, err := h.Claims.Claim(ctx, call)
 	switch {
 	case err != nil:
-		h.refuse(reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonClaim, 0)
+		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonClaim, 0)
 	case verdict.Action == Replay:
 		h.replay(reply, verdict.Answer)
 	case verdict.Action == InDoubt:
@@ -147,7 +151,7 @@
 		if reason == "" {
 			reason = ReasonInDoubt
 		}
-		h.refuse(reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
+		h.refuse(call, reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
 	default:
 		h.run(ctx, &visit{up: up, call: call, reply: reply, claims: h.Claims, until: verdict.Until})
 	}
@@ -207,7 +211,7 @@
 		v.claims.Released(v.call)
 		reason, after = claimedPrefix+reason, max(after, claimedRetry)
 	}
-	h.refuse(v.reply, wire.Outcome_OUTCOME_NOT_RUN, reason, after)
+	h.refuse(v.call, v.reply, wire.Outcome_OUTCOME_NOT_RUN, reason, after)
 }
 
 // handOver gives the call to the upstream and passes the answer back.
@@ -224,7 +228,7 @@
 		if errors.Is(err, errUnsealed) {
 			reason = ReasonUnsealed
 		}
-		h.refuse(v.reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
+		h.refuse(v.call, v.reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
 		return gate.Result{Failed: true}
 	default:
 		return gate.Result{Failed: !h.passOn(response, v)}
@@ -312,7 +316,12 @@
 	_, _ = reply.Write(answer.Body)
 }
 
-func (h *Handler) refuse(reply peer.ReplyWriter, outcome wire.Outcome, reason string, after time.Duration) {
+func (h *Handler) refuse(
+	call *peer.Call, reply peer.ReplyWriter, outcome wire.Outcome, reason string, after time.Duration,
+) {
+	if h.Unanswered != nil {
+		h.Unanswered(call.Head, outcome, reason, h.Gate.Load())
+	}
 	if outcome == wire.Outcome_OUTCOME_NOT_RUN {
 		h.counters.NotRun.Add(1)
 	} else {
--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -180,16 +180,17 @@
 }
 
 // note adds an attempt to what is told of the request.
-func (s *Steerer) note(j *job, candidate pick.Candidate, start time.Time, reply *peer.Reply, failed *peer.CallError) {
-	attempt := Attempt{Host: candidate.Host, Took: time.Since(start)}
+func (s *Steerer) note(j *job, attempt Attempt, start time.Time, reply *peer.Reply, failed *peer.CallError) {
+	attempt.Took = time.Since(start)
 	switch {
 	case failed != nil:
-		attempt.Outcome, attempt.Reason = failed.Outcome.String(), failed.Reason
+		attempt.Outcome, attempt.Reason, attempt.LoadPercent = failed.Outcome.String(), failed.Reason, failed.LoadPercent
 		if failed.Err != nil {
 			attempt.Reason += ": " + failed.Err.Error()
 		}
 	default:
 		attempt.Outcome, attempt.Status = "answered", int(reply.Head.GetStatus())
+		attempt.LoadPercent = int(reply.Head.GetLoadPercent())
 		attempt.Work, attempt.AtNode = micros(reply.Head.GetServiceMicros()), micros(reply.Head.GetNodeMicros())
 	}
 	j.end.Attempts = append(j.end.Attempts, attempt)
@@ -223,6 +224,10 @@
 	Outcome string
 	Reason  string
 	Status  int
+	// LoadPercent is the load that the host told, and Expected the time that the
+	// choice of the host counted on.
+	LoadPercent int
+	Expected    time.Duration
 	// Took is what the attempt took, AtNode the part at the host's node, and Work
 	// that at the upstream.
 	Took, AtNode, Work time.Duration
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -154,7 +154,7 @@
 		if len(j.tried) > 0 && time.Until(j.deadline) < expected/2 {
 			return s.giveUp(ctx, j, nil)
 		}
-		answer, failed := s.attempt(ctx, j, candidate)
+		answer, failed := s.attempt(ctx, j, candidate, expected)
 		if failed == nil {
 			if !s.worthRepeating(j, candidate.Host, answer.Status) {
 				return s.truthful(j, answer)
@@ -198,7 +198,9 @@
 }
 
 // attempt calls one upstream once and reads its whole answer.
-func (s *Steerer) attempt(ctx context.Context, j *job, candidate pick.Candidate) (answer *front.Answer, failed *peer.CallError) {
+func (s *Steerer) attempt(
+	ctx context.Context, j *job, candidate pick.Candidate, expected time.Duration,
+) (answer *front.Answer, failed *peer.CallError) {
 	j.tried = append(j.tried, candidate.Host)
 	start := time.Now()
 	flight := s.Picker.Begin(start, candidate.Host)
@@ -222,7 +224,7 @@
 		}
 	}
 	flight.End(now, outcome)
-	s.note(j, candidate, start, reply, failed)
+	s.note(j, Attempt{Host: candidate.Host, Expected: expected}, start, reply, failed)
 	if failed != nil {
 		return nil, failed
 	}
