Write the pages on proxies: design, settings, milestone, words

What was weighed for proxies on the users' platform, what the platform makes needless and what stays for now, the questions that their pages leave open, every key of a proxy's settings (kept complete by the test of the pages), and the milestone on the developers' page.

--- a/internal/script/pages_test.go
+++ b/internal/script/pages_test.go
@@ -24,6 +24,7 @@
 	}{
 		{name: "settings tree", keys: ofTree},
 		{name: "node settings", keys: keysOf(reflect.TypeFor[conf.Node](), "")},
+		{name: "proxy settings", keys: keysOf(reflect.TypeFor[conf.Proxy](), "")},
 	}
 	data, err := os.ReadFile(filepath.Join("..", "..", "docs", "CONFIGURATION.md"))
 	assert.NilError(t, err)
