--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -127,7 +127,7 @@
 		reason, retryAfter = failed.Reason, min(max(failed.RetryAfter, leastRetry), mostRetry)
 	}
 	switch {
-	case j.unknown && errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case j.unknown && (reason == peer.ReasonDeadline || errors.Is(ctx.Err(), context.DeadlineExceeded)):
 		return s.own(j, http.StatusGatewayTimeout, ReasonDeadline, 0)
 	case j.unknown:
 		return s.own(j, http.StatusBadGateway, reason, 0)
