Keep one tick, one address of a listener and one sorting of store errors

The proxy had written again what the node had: the controller that ticks, the address of a listener, and what an error of the store says of a write.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -43,7 +43,7 @@
 		newLife(set),
 		newView(set),
 		newJournal(set),
-		newTick(set),
+		newTick(&set.Ticked),
 	}
 	for _, c := range controllers {
 		b.Add(c)
--- a/internal/ctrl/proxy.go
+++ b/internal/ctrl/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/talk"
@@ -39,7 +38,7 @@
 		newServe(set),
 		newSight(set),
 		newDiary(set),
-		newProxyTick(set),
+		newTick(&set.Ticked),
 	}
 	for _, c := range controllers {
 		b.Add(c)
@@ -50,24 +49,3 @@
 func say(set *cells.Proxy, link cells.LinkID, message talk.Message) {
 	set.LinkOut.Send(cells.LinkCommand{Action: cells.LinkSend, Link: link, Message: message})
 }
-
-// proxyTick asks once a second for the counters of traffic threads.
-type proxyTick struct {
-	*cells.Proxy
-	alarm board.Alarm
-}
-
-func newProxyTick(set *cells.Proxy) board.Controller {
-	t := &proxyTick{Proxy: set}
-	return board.Controller{
-		Name:   "tick",
-		Reads:  []board.Ref{&t.alarm},
-		Writes: []board.Ref{&set.Ticked, &t.alarm},
-		Step:   t.step,
-	}
-}
-
-func (t *proxyTick) step(now time.Time) {
-	t.Ticked.Send(now)
-	t.alarm.Set(now.Add(time.Second))
-}
--- a/internal/ctrl/tick.go
+++ b/internal/ctrl/tick.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/pkg/board"
 )
 
@@ -12,21 +11,21 @@
 
 // tick asks for the counters of traffic threads at an interval.
 type tick struct {
-	*cells.Set
-	alarm board.Alarm
+	ticked *board.Outbox[time.Time]
+	alarm  board.Alarm
 }
 
-func newTick(set *cells.Set) board.Controller {
-	t := &tick{Set: set}
+func newTick(ticked *board.Outbox[time.Time]) board.Controller {
+	t := &tick{ticked: ticked}
 	return board.Controller{
 		Name:   "tick",
 		Reads:  []board.Ref{&t.alarm},
-		Writes: []board.Ref{&set.Ticked, &t.alarm},
+		Writes: []board.Ref{ticked, &t.alarm},
 		Step:   t.step,
 	}
 }
 
 func (t *tick) step(now time.Time) {
-	t.Ticked.Send(now)
+	t.ticked.Send(now)
 	t.alarm.Set(now.Add(tickInterval))
 }
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/repo"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/store"
 )
@@ -134,7 +135,7 @@
 			listed = false
 			continue
 		}
-		d.post(cells.ObjectEvent{Action: cells.FollowObjects, Kind: kind, Result: resultOf(err), Err: err})
+		d.post(cells.ObjectEvent{Action: cells.FollowObjects, Kind: kind, Result: repo.ResultOf(err), Err: err})
 		// The context's end shows at the loop's head.
 		_ = backoff.Wait(ctx)
 	}
@@ -201,7 +202,7 @@
 	case errors.Is(err, store.ErrNotFound):
 		event.Current = cells.Object{Name: string(command.Host), Version: max(1, command.Version), Deleted: true}
 	}
-	event.Result, event.Err = resultOf(err), err
+	event.Result, event.Err = repo.ResultOf(err), err
 	d.post(event)
 }
 
@@ -233,17 +234,3 @@
 	}
 	return objectOf(written, false), nil
 }
-
-// resultOf sorts an error by what it says of a call's effect.
-func resultOf(err error) cells.StoreResult {
-	switch {
-	case err == nil:
-		return cells.StoreDone
-	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
-		return cells.StoreConflict
-	case errors.Is(err, store.ErrUnknown):
-		return cells.StoreUnknown
-	default:
-		return cells.StoreFailed
-	}
-}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -15,6 +15,8 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"arbutusstep.example/arbutusstep/internal/sock"
 )
 
 // exitWait bounds hertz's own wait for connections at shutdown.
@@ -76,10 +78,7 @@
 
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() (address netip.AddrPort) {
-	if tcp, ok := s.listener.Addr().(*net.TCPAddr); ok {
-		address = tcp.AddrPort()
-	}
-	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+	return sock.AddressOf(s.listener)
 }
 
 // CloseConns closes every connection, also those that are accepted later.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/repo"
 	"arbutusstep.example/arbutusstep/internal/serve"
+	"arbutusstep.example/arbutusstep/internal/sock"
 	"arbutusstep.example/arbutusstep/internal/store"
 	"arbutusstep.example/arbutusstep/pkg/board"
 	"arbutusstep.example/arbutusstep/pkg/burn"
@@ -279,12 +280,12 @@
 
 // NodeAddr is where other nodes connect.
 func (n *Node) NodeAddr() netip.AddrPort {
-	return addressOf(n.nodes)
+	return sock.AddressOf(n.nodes)
 }
 
 // CallerAddr is where callers connect.
 func (n *Node) CallerAddr() netip.AddrPort {
-	return addressOf(n.callers)
+	return sock.AddressOf(n.callers)
 }
 
 // AdminAddr is where the host's upstream and operators connect.
@@ -292,13 +293,6 @@
 	return n.admin.Addr()
 }
 
-func addressOf(listener net.Listener) (address netip.AddrPort) {
-	if tcp, ok := listener.Addr().(*net.TCPAddr); ok {
-		address = tcp.AddrPort()
-	}
-	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
-}
-
 // noted logs a change of state.
 func (n *Node) noted(note cells.Note) {
 	event := n.logger.Info()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -185,7 +185,7 @@
 func (p *Proxy) startControl() {
 	settings := p.settings.Load()
 	p.cells.Self.Set(cells.ProxySelf{
-		Host: settings.Host, Place: p.place(), Node: addressOf(p.nodes), Started: p.started, Heartbeat: settings.Heartbeat,
+		Host: settings.Host, Place: p.place(), Node: sock.AddressOf(p.nodes), Started: p.started, Heartbeat: settings.Heartbeat,
 	})
 	p.cells.LinkOut.Handle = p.links.Handle
 	p.cells.ObjectOut.Handle = p.depot.Handle
@@ -256,14 +256,7 @@
 
 // Addresses returns where the proxy listens.
 func (p *Proxy) Addresses() Addresses {
-	return Addresses{Callers: addressOf(p.callers), Nodes: addressOf(p.nodes), Admin: p.admin.Addr(), Ready: p.asked.Addr()}
-}
-
-func addressOf(listener net.Listener) (address netip.AddrPort) {
-	if tcp, ok := listener.Addr().(*net.TCPAddr); ok {
-		address = tcp.AddrPort()
-	}
-	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+	return Addresses{Callers: sock.AddressOf(p.callers), Nodes: sock.AddressOf(p.nodes), Admin: p.admin.Addr(), Ready: p.asked.Addr()}
 }
 
 // noted logs a change of state.
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -8,16 +8,13 @@
 	"io"
 	"math"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/wire"
-	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
 const (
@@ -51,88 +48,6 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
 
-// Target is the upstream that calls go to.
-type Target struct {
-	// Address is invalid when there is none.
-	Address netip.AddrPort
-	// Connections bounds the connections to it; zero means no bound.
-	Connections int
-	// Service is the one that it serves; empty takes calls for any.
-	Service mesh.Service
-	// Instance names its lifetime; empty when that is not told.
-	Instance string
-	// Until is when no further call may be sent to it; zero means no bound.
-	Until time.Time
-}
-
-// upstream is the HTTP server that this node stands in front of.
-type upstream struct {
-	conns    conns
-	form     Form
-	service  mesh.Service
-	instance string
-	// until is when no further call may be sent, nil for no bound.
-	until atomic.Pointer[time.Time]
-}
-
-// takes reports whether calls for the service are for this upstream. A caller's
-// node may know the address by a host that had it before.
-func (u *upstream) takes(service string) bool {
-	return u.service == "" || string(u.service) == service
-}
-
-// closed reports whether no further call may be sent.
-func (u *upstream) closed(now time.Time) bool {
-	until := u.until.Load()
-	return until != nil && !now.Before(*until)
-}
-
-// SetUpstream makes the address the one that calls go to, over at most that
-// many connections; zero means no bound. An invalid address means that there
-// is no upstream.
-func (h *Handler) SetUpstream(address netip.AddrPort, connections int) {
-	h.SetTarget(Target{Address: address, Connections: connections})
-}
-
-// SetTarget makes the target the one that calls go to. Calls that run go on.
-func (h *Handler) SetTarget(target Target) {
-	if before := h.upstream.Load(); before != nil && before.serves(target) {
-		before.closeAt(target.Until)
-		return
-	}
-	var next *upstream
-	if target.Address.IsValid() {
-		next = &upstream{conns: conns{address: target.Address.String()}, form: h.form(), service: target.Service, instance: target.Instance}
-		next.closeAt(target.Until)
-		if target.Connections > 0 {
-			next.conns.slots = make(chan struct{}, target.Connections)
-		}
-	}
-	if before := h.upstream.Swap(next); before != nil {
-		before.conns.close()
-	}
-}
-
-// serves reports whether the target differs from this one in its bound of time only.
-func (u *upstream) serves(target Target) bool {
-	return u.conns.address == target.Address.String() && u.service == target.Service && u.instance == target.Instance && cap(u.conns.slots) == target.Connections
-}
-
-func (u *upstream) closeAt(until time.Time) {
-	if until.IsZero() {
-		u.until.Store(nil)
-		return
-	}
-	u.until.Store(&until)
-}
-
-func (h *Handler) form() Form {
-	if h.Form == nil {
-		return ownForm{}
-	}
-	return h.Form
-}
-
 // exchange is one request on one connection.
 type exchange struct {
 	conns *conns
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -68,3 +68,11 @@
 	}
 	return set
 }
+
+// AddressOf returns the address that a TCP listener listens on.
+func AddressOf(listener net.Listener) (address netip.AddrPort) {
+	if tcp, ok := listener.Addr().(*net.TCPAddr); ok {
+		address = tcp.AddrPort()
+	}
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -37,11 +37,11 @@
 	return time.ParseDuration(field("timeout"))
 }
 
-func (form) Sets(name string) bool                              { return name == "origin" }
-func (form) Origin(service mesh.Service) (name, value string)   { return "origin", string(service) }
-func (form) Echo(id string) (name, value string)                { return "id", id }
-func (f fixed) Traffic() cells.ProxyTraffic                     { return f.traffic }
-func (e *ends) Record(end steer.End)                            { e.last = end }
+func (form) Sets(name string) bool                                    { return name == "origin" }
+func (form) Origin(service mesh.Service) (name, value string)         { return "origin", string(service) }
+func (form) Echo(id string) (name, value string)                      { return "id", id }
+func (f fixed) Traffic() cells.ProxyTraffic                           { return f.traffic }
+func (e *ends) Record(end steer.End)                                  { e.last = end }
 func (noLocal) Call(context.Context, *peer.Call) (*peer.Reply, error) { panic("no upstream here") }
 
 type (
@@ -97,7 +97,7 @@
 		Parts: []plan.Part{{Service: "orders", Weight: 1}},
 	}})
 	assert.NilError(t, err)
-	var candidates []pick.Candidate
+	candidates := make([]pick.Candidate, 0, 5)
 	for _, host := range []mesh.HostID{"h1", "h2", "h3", "h4", "h5"} {
 		candidates = append(candidates, pick.Candidate{Host: host, Node: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 9})
 	}
