Probe nodes that do not answer instead of trying requests on them

Cause: with machines cut off, each proxy found out by requests, one a second and host, that a host's node still did not answer; each of them lost up to 0.9 s, and was answered 502 where its session had fallen silent.

Change: a failed dial or a silent session marks the host until a probe in the background reaches its node.

--- /dev/null
+++ b/internal/peer/reach.go
@@ -0,0 +1,16 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+)
+
+// Reach reports whether the node answers: it connects to it where there is no
+// session, and asks for a sign of life on the session.
+func (p *Pool) Reach(ctx context.Context, node netip.AddrPort) (err error) {
+	s, err := p.connect(ctx, node)
+	if err != nil {
+		return err
+	}
+	return s.check(ctx)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -203,6 +203,7 @@
 func (p *Proxy) startTraffic() {
 	settings := p.settings.Load()
 	p.steerer.View, p.steerer.Caller, p.steerer.Local = view{&p.cells}, &p.pool, &peer.Local{Handler: &p.handler}
+	p.steerer.Reacher = &p.pool
 	p.steerer.Form, p.steerer.Recorder = p.platform.Headers, &p.ends
 	p.steerer.Host, p.steerer.Place = settings.Host, p.place()
 	p.steerer.Service = func() mesh.Service { return p.settings.Load().Service }
--- /dev/null
+++ b/internal/steer/reach.go
@@ -0,0 +1,59 @@
+package steer
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/pkg/pick"
+)
+
+const (
+	// reachFirst and reachLongest bound the time between two tries to reach a node
+	// that did not answer.
+	reachFirst   = 200 * time.Millisecond
+	reachLongest = 1600 * time.Millisecond
+	// reachTime bounds one try.
+	reachTime = time.Second
+	// reachTries bounds the tries; a node that is gone for longer is tried again by
+	// the next request.
+	reachTries = 40
+)
+
+// Reacher finds out whether a node answers.
+type Reacher interface {
+	Reach(ctx context.Context, node netip.AddrPort) error
+}
+
+// unreachable reports whether a failure says that the node does not answer.
+func unreachable(failed *peer.CallError) bool {
+	switch failed.Reason {
+	case peer.ReasonDial, peer.ReasonSilent:
+		return true
+	}
+	return false
+}
+
+// watchUnreached keeps requests from a node that does not answer, until it does.
+// A request that would find out by itself would lose its time.
+func (s *Steerer) watchUnreached(candidate pick.Candidate) {
+	if s.Reacher != nil && s.Picker.Unreached(candidate.Host) {
+		s.tryLater(candidate, reachFirst, reachTries)
+	}
+}
+
+// tryLater tries to reach the node after the wait, and then less and less often.
+func (s *Steerer) tryLater(candidate pick.Candidate, wait time.Duration, left int) {
+	time.AfterFunc(wait, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reachTime)
+		defer cancel()
+		err := s.Reacher.Reach(ctx, candidate.Node)
+		if err == nil || left == 1 || errors.Is(err, peer.ErrClosed) {
+			s.Picker.Reached(candidate.Host)
+			return
+		}
+		s.tryLater(candidate, min(2*wait, reachLongest), left-1)
+	})
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -64,6 +64,9 @@
 	Local    LocalCaller
 	Form     Form
 	Recorder Recorder
+	// Reacher finds out when a node that did not answer does again; nil leaves that
+	// to the requests.
+	Reacher Reacher
 	// Host and Place are this node's.
 	Host  mesh.HostID
 	Place mesh.Place
@@ -214,6 +217,9 @@
 	if err != nil {
 		failed = asCallError(err)
 		outcome = outcomeOf(ctx, failed)
+		if unreachable(failed) {
+			s.watchUnreached(candidate)
+		}
 	} else {
 		outcome = pick.Outcome{
 			Latency: now.Sub(start), LoadPercent: int(reply.Head.GetLoadPercent()),
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -231,3 +233,37 @@
 	assert.Equal(t, len(s.calls), 1)
 	assert.Assert(t, told.last.Gone)
 }
+
+// reachedLater says that a node answers from the third try on.
+type reachedLater struct{ tries int }
+
+// Reach implements steer.Reacher.
+func (r *reachedLater) Reach(context.Context, netip.AddrPort) error {
+	if r.tries++; r.tries < 3 {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func TestNodesThatDoNotAnswerGetNoRequestUntilTheyDo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{outcomes: []outcome{notRun(peer.ReasonDial), {status: 200}}}
+		st, told := newSteerer(t, plan.Idempotent, 2, s)
+		reacher := &reachedLater{}
+		st.Reacher = reacher
+		st.Handle(t.Context(), request("/o/x", nil))
+		silent := told.last.Attempts[0].Host
+		for range 200 {
+			st.Handle(t.Context(), request("/o/x", nil))
+			assert.Assert(t, told.last.Attempts[0].Host != silent)
+		}
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, reacher.tries, 3)
+		hosts := make(map[mesh.HostID]bool)
+		for range 200 {
+			st.Handle(t.Context(), request("/o/x", nil))
+			hosts[told.last.Attempts[0].Host] = true
+		}
+		assert.Assert(t, hosts[silent])
+	})
+}
--- a/pkg/pick/cheap.go
+++ b/pkg/pick/cheap.go
@@ -128,6 +128,28 @@
 	h.failRate += failGain * (sample - h.failRate)
 }
 
+// Unreached notes that a host's node does not answer, so that no request is
+// tried there while others are left; first is false when that was known. The
+// caller finds out when the node answers again, and calls Reached.
+func (p *Picker) Unreached(id mesh.HostID) (first bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	h := p.host(id)
+	first = !h.unreached
+	h.unreached = true
+	return first
+}
+
+// Reached notes that a host's node answers.
+func (p *Picker) Reached(id mesh.HostID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	h := p.host(id)
+	h.unreached = false
+	h.ejectedUntil, h.failures = time.Time{}, 0
+	p.release(id, h)
+}
+
 // StandsOut reports whether a host fails requests clearly more often than the
 // others of the set; when all fail alike, the cause is elsewhere.
 func (p *Picker) StandsOut(set *Set, id mesh.HostID) bool {
--- a/pkg/pick/host.go
+++ b/pkg/pick/host.go
@@ -69,6 +69,8 @@
 	// before the first, and trip the mean time that requests are on their way, in
 	// nanoseconds.
 	pace, trip float64
+	// unreached is true while the host's node does not answer.
+	unreached bool
 	// failRate is the mean share of requests that the upstream failed or refused.
 	failRate float64
 	// latest is the load last reported, as a fraction of the limit.
@@ -107,7 +109,7 @@
 
 // usable reports whether the host is neither ejected nor held.
 func (h *host) usable(now time.Time) bool {
-	return !now.Before(h.ejectedUntil) && !now.Before(h.heldUntil)
+	return !h.unreached && !now.Before(h.ejectedUntil) && !now.Before(h.heldUntil)
 }
 
 // end takes in the outcome of a flight that began at that time.
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -163,7 +163,7 @@
 
 // release forgets the host when nothing refers to it.
 func (p *Picker) release(id mesh.HostID, h *host) {
-	if h.views == 0 && h.inFlight == 0 {
+	if h.views == 0 && h.inFlight == 0 && !h.unreached {
 		delete(p.hosts, id)
 	}
 }
