Leave a part of a host's link to short answers

Change: the node beside the upstream reads a long answer whole, which frees the slot, and sends it at no more than 80% of the host's link, whose rate is a setting now.

--- a/internal/conf/proxy.go
+++ b/internal/conf/proxy.go
@@ -59,6 +59,9 @@
 	Memory int64 `yaml:"memory" validate:"min=16777216,max=1099511627776"`
 	// PlatformRate is the calls a second to the platform.
 	PlatformRate float64 `yaml:"platformRate" validate:"min=0.1,max=1000"`
+	// Link is the rate of the host's link in megabits a second; zero when it is
+	// not told. Long answers leave a part of it to short ones.
+	Link float64 `yaml:"link" validate:"min=0,max=1000000"`
 }
 
 // DefaultProxy returns the settings that a file need not give.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,6 +53,10 @@
 	watchGrace = 600 * time.Millisecond
 	// platformBurst is how many calls to the platform may be made at once.
 	platformBurst = 40
+	// longShare is the part of the host's link that long answers use, in percent.
+	longShare = 80
+	// bytesPerMegabit converts the rate of a link.
+	bytesPerMegabit = 1e6 / 8
 	// dialTimeout bounds a dial to another proxy.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -176,6 +180,7 @@
 	p.pool.Dialer = sock.Dialer{Silence: silence}
 	p.pool.DialTimeout = dialTimeout
 	p.links = links.NewDriver(&p.pool, &p.cells.Links)
+	p.handler.Pace.SetRate(int(settings.Limits.Link * bytesPerMegabit * longShare / 100))
 	p.handler.Gate, p.handler.Form = &p.gate, p.platform.Headers
 	p.handler.Unreachable, p.handler.Unanswered = p.unreachable, p.ends.unanswered
 	p.peers.Calls, p.peers.Controls = &p.handler, p.links
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -29,6 +29,9 @@
 	ReasonUnsealed   = "answer-unsealed"
 )
 
+// outcomeUnknown says that the upstream may have run a call.
+const outcomeUnknown = wire.Outcome_OUTCOME_UNKNOWN
+
 // gatePrefix starts the reasons that the gate gives.
 const gatePrefix = "gate-"
 
@@ -78,6 +81,9 @@
 	// nobody is. It must not block.
 	Unreachable func()
 
+	// Pace bounds the bytes a second of long answers.
+	Pace Pace
+
 	// Unanswered is told of each call without an answer, and of the gate's load
 	// then; nil means nobody is. It must not block.
 	Unanswered func(head *wire.CallHead, outcome wire.Outcome, reason string, load gate.Load)
@@ -166,6 +172,8 @@
 	claims Claims
 	// until is when a claimed call must have been handed over; zero for no bound.
 	until time.Time
+	// leave gives the slot back early, once the upstream is done with the call.
+	leave func()
 	// arrived is when the call came, and handed when it went to the upstream.
 	arrived, handed time.Time
 }
@@ -189,6 +197,7 @@
 	}
 	result := gate.Result{Failed: true}
 	defer func() { ticket.Leave(result) }()
+	v.leave = func() { ticket.Leave(gate.Result{}) }
 	if ctx.Err() != nil {
 		// The slot may have come when the call had just ended.
 		result = gate.Result{NotRun: true}
@@ -230,6 +239,8 @@
 		}
 		h.refuse(v.call, v.reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
 		return gate.Result{Failed: true}
+	case v.claims == nil && h.Pace.paces(response.ContentLength):
+		return gate.Result{Failed: !h.passOnPaced(ctx, response, v)}
 	default:
 		return gate.Result{Failed: !h.passOn(response, v)}
 	}
@@ -275,14 +286,7 @@
 // passOn sends the answer back and reports whether it was whole.
 func (h *Handler) passOn(response answered, v *visit) (whole bool) {
 	defer func() { _ = response.Body.Close() }()
-	head := &wire.ReplyHead{
-		Status:        uint32(response.StatusCode),
-		Headers:       replyHeaders(response.Header),
-		BodyLength:    response.ContentLength,
-		LoadPercent:   h.load(),
-		ServiceMicros: time.Since(v.handed).Microseconds(),
-		NodeMicros:    time.Since(v.arrived).Microseconds(),
-	}
+	head := h.headOf(response, v)
 	var kept *keeper
 	var sink io.Writer = v.reply
 	if v.claims != nil {
@@ -303,6 +307,18 @@
 	return true
 }
 
+// headOf returns the head that passes the answer on.
+func (h *Handler) headOf(response answered, v *visit) *wire.ReplyHead {
+	return &wire.ReplyHead{
+		Status:        uint32(response.StatusCode),
+		Headers:       replyHeaders(response.Header),
+		BodyLength:    response.ContentLength,
+		LoadPercent:   h.load(),
+		ServiceMicros: workedFor(v.handed),
+		NodeMicros:    workedFor(v.arrived),
+	}
+}
+
 func (h *Handler) replay(reply peer.ReplyWriter, answer Answer) {
 	h.counters.Replayed.Add(1)
 	head := &wire.ReplyHead{
