--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -59,6 +59,9 @@
 	bytesPerMegabit = 1e6 / 8
 	// dialTimeout bounds a dial to another proxy.
 	dialTimeout = 500 * time.Millisecond
+	// queuedBytes is how much may wait before a ping in the queue of the host's
+	// link; a slow link takes its time for it.
+	queuedBytes = 512 << 10
 )
 
 // Headers is how requests and answers are marked on both sides of the mesh.
@@ -145,6 +148,15 @@
 	return p, nil
 }
 
+// pingTimeout returns how long another proxy may take to answer a ping, behind
+// what a link of that many megabits a second has queued.
+func pingTimeout(link float64) time.Duration {
+	if link == 0 {
+		return peer.DefaultPingTimeout
+	}
+	return peer.DefaultPingTimeout + time.Duration(queuedBytes/(link*bytesPerMegabit)*float64(time.Second))
+}
+
 func (p *Proxy) listen() (err error) {
 	listen := p.settings.Load().Listen
 	dialer := sock.Dialer{Silence: silence}
@@ -178,7 +190,7 @@
 	kinds := depot.Kinds{Versions: p.platform.Versions, Records: p.platform.Records}
 	p.depot = depot.New(p.store, &p.cells.Objects, kinds, p.trip.shortest)
 	p.pool.Dialer = sock.Dialer{Silence: silence}
-	p.pool.DialTimeout = dialTimeout
+	p.pool.DialTimeout, p.pool.PingTimeout = dialTimeout, pingTimeout(settings.Limits.Link)
 	p.links = links.NewDriver(&p.pool, &p.cells.Links)
 	p.handler.Pace.SetRate(int(settings.Limits.Link * bytesPerMegabit * longShare / 100))
 	p.handler.Gate, p.handler.Form = &p.gate, p.platform.Headers
