Remove what nothing uses, and log why the platform or a reader was lost

A command of objects, a choice of sweepers and a list of rules were left from the first path. The reason of a failed call to the platform and of a lost link to a reader stood nowhere; now they are in the lines that tell of the loss.

--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -25,10 +25,8 @@
 
 // The actions on objects.
 const (
-	// LoadObjects lists a kind once.
-	LoadObjects ObjectAction = iota
 	// FollowObjects lists a kind and tells its changes until LeaveObjects.
-	FollowObjects
+	FollowObjects ObjectAction = iota
 	// LeaveObjects ends FollowObjects.
 	LeaveObjects
 	// PutRecord creates or updates a record on condition of its version.
--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -112,6 +112,8 @@
 	OK bool
 	// Since is when OK last changed.
 	Since time.Time
+	// Reason is the last failure; empty while OK.
+	Reason string
 	// Trip is the time that a connection to the platform took, zero before the first.
 	Trip time.Duration
 }
@@ -125,9 +127,8 @@
 	Since time.Time
 	// From is the host that told it, empty when it was read from the platform.
 	From mesh.HostID
-	// Refused is the newest version that was refused, zero for none, and Reason why.
-	Refused mesh.Version
-	Reason  string
+	// Reason says why the newest document was refused; empty when it was not.
+	Reason string
 }
 
 // ProxyTraffic is what traffic threads work on. It is immutable.
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -62,12 +62,6 @@
 	return node, parse(data, &node, func() {})
 }
 
-// ParseProxy reads the settings of a proxy from YAML and checks them.
-func ParseProxy(data []byte) (proxy Proxy, err error) {
-	proxy = DefaultProxy()
-	return proxy, parse(data, &proxy, func() {})
-}
-
 // parse returns Faults with what can't be decoded and what is not allowed.
 func parse(data []byte, target settings, override func()) (err error) {
 	d := decoder{positions: make(map[string]Position)}
--- a/internal/ctrl/diary.go
+++ b/internal/ctrl/diary.go
@@ -34,7 +34,7 @@
 		d.note("phase", cells.Field{Name: "phase", Value: string(phase)})
 	}
 	if reached := d.Reached.Get(); reached.OK != d.reached.OK || d.reached.Since.IsZero() != reached.Since.IsZero() {
-		d.note("platformReached", cells.Field{Name: "reached", Value: reached.OK},
+		d.note("platformReached", cells.Field{Name: "reached", Value: reached.OK}, cells.Field{Name: "reason", Value: reached.Reason},
 			cells.Field{Name: "trip", Value: reached.Trip}, cells.Field{Name: "before", Value: reached.Since.Sub(d.reached.Since)})
 		d.reached = reached
 	}
--- a/internal/ctrl/feed.go
+++ b/internal/ctrl/feed.go
@@ -59,7 +59,7 @@
 		Name:   "feed",
 		Reads:  []board.Ref{&set.Links, &set.Peers, &set.Roster, &f.alarm},
 		Uses:   []board.Ref{&set.Self, &set.Held},
-		Writes: []board.Ref{&set.Reading, &set.LinkOut, &set.ObjectOut, &f.alarm},
+		Writes: []board.Ref{&set.Reading, &set.LinkOut, &set.ObjectOut, &set.Noted, &f.alarm},
 		Step:   f.step,
 	}
 }
@@ -107,6 +107,9 @@
 	for _, n := range f.Roster.Read().Nodes() {
 		if n.Address == e.Node {
 			f.out[n.Host] = now.Add(readerOut)
+			f.Noted.Send(cells.Note{Event: "readerLost", Fields: []cells.Field{
+				{Name: "reader", Value: string(n.Host)}, {Name: "reason", Value: textOf(e.Err)}, {Name: "passedOver", Value: readerOut},
+			}})
 		}
 	}
 }
--- a/internal/ctrl/reach.go
+++ b/internal/ctrl/reach.go
@@ -28,7 +28,10 @@
 	for _, e := range r.Objects.Events() {
 		ok := e.Result == cells.StoreDone || e.Result == cells.StoreConflict
 		if ok != reached.OK || reached.Since.IsZero() {
-			reached.OK, reached.Since = ok, now
+			reached.OK, reached.Since, reached.Reason = ok, now, ""
+			if !ok {
+				reached.Reason = textOf(e.Err)
+			}
 		}
 		if e.Trip > 0 && (reached.Trip == 0 || e.Trip < reached.Trip) {
 			reached.Trip = e.Trip
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -44,7 +44,7 @@
 	if e.Current.Version > 0 {
 		r.object(e.Current)
 	}
-	if e.Result != cells.StoreDone || e.Action != cells.LoadObjects && e.Action != cells.FollowObjects {
+	if e.Result != cells.StoreDone || e.Action != cells.FollowObjects {
 		return
 	}
 	for _, o := range e.Objects {
--- a/internal/ctrl/take.go
+++ b/internal/ctrl/take.go
@@ -96,7 +96,7 @@
 		{Name: "before", Value: uint64(held.Plan.Version())},
 		{Name: "from", Value: string(from)},
 		{Name: "bytes", Value: len(data)},
-		{Name: "rules", Value: len(made.Rules())},
+		{Name: "rules", Value: made.Len()},
 	}})
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -1,7 +1,6 @@
 // Package fleet decides how the nodes of a mesh work together when each keeps
 // one record of itself in the platform: which record of a host stands, what an
-// upstream's word is worth, who reads versions for others, and which records
-// are swept. It does no I/O.
+// upstream's word is worth, and who reads versions for others. It does no I/O.
 package fleet
 
 import (
@@ -83,18 +82,6 @@
 	return pool[:min(count, len(pool))]
 }
 
-// Sweeper returns the host that removes the record of a dead node: one of the
-// live ones, chosen by rendezvous hashing, so that few of them try at once.
-func Sweeper(dead mesh.HostID, live []mesh.HostID) (sweeper mesh.HostID) {
-	best := uint64(0)
-	for _, h := range live {
-		if w := weight(dead + "/" + h); sweeper == "" || w > best || w == best && h < sweeper {
-			sweeper, best = h, w
-		}
-	}
-	return sweeper
-}
-
 func weight(host mesh.HostID) uint64 {
 	return xxhash.Sum64String(string(host))
 }
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -3,7 +3,6 @@
 package plan
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -223,14 +222,12 @@
 	return longest
 }
 
-// Rules returns every rule, sorted by host and prefix.
-func (p *Plan) Rules() []*Rule {
+// Len returns the number of rules.
+func (p *Plan) Len() int {
 	if p == nil {
-		return nil
+		return 0
 	}
-	return slices.SortedFunc(slices.Values(p.rules), func(a, b *Rule) int {
-		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Prefix, b.Prefix))
-	})
+	return len(p.rules)
 }
 
 // Match returns the rule of the host with the longest prefix of the path. The
