Wait for the stated bound, and count tries without a race, in two tests

One took a single answer from the staying upstream, which comes by chance, for the sign that all proxies knew of the leaving one; the other read a counter that a timer's goroutine writes.

Change: the first waits 2.5 s, the bound on new work for a leaving upstream, and then allows none at either proxy; the second counts atomically. Both stay as strict: no request after the bound, and the probe's tries exactly.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -29,6 +29,10 @@
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
+// drainTime is how long after its acknowledgement a leaving upstream may still
+// get work.
+const drainTime = 2500 * time.Millisecond
+
 // patience bounds the wait for what has to come.
 var patience = poll.WithTimeout(20 * time.Second)
 
@@ -211,12 +215,7 @@
 	m := newMesh(t, "orders", "orders")
 	leaving, staying := m.proxies[0], m.proxies[1]
 	assert.Equal(t, leaving.speak(t, "orders", "draining"), http.StatusOK)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, body := leaving.ask(t, "x", "/o/x"); strings.HasPrefix(body, staying.instance) {
-			return poll.Success()
-		}
-		return poll.Continue("the leaving upstream still gets work")
-	}, patience)
+	time.Sleep(drainTime)
 	before := leaving.runs()
 	for i := range 50 {
 		for _, p := range m.proxies {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -235,11 +236,11 @@
 }
 
 // reachedLater says that a node answers from the third try on.
-type reachedLater struct{ tries int }
+type reachedLater struct{ tries atomic.Int64 }
 
 // Reach implements steer.Reacher.
 func (r *reachedLater) Reach(context.Context, netip.AddrPort) error {
-	if r.tries++; r.tries < 3 {
+	if r.tries.Add(1) < 3 {
 		return errors.New("no answer")
 	}
 	return nil
@@ -258,7 +259,7 @@
 			assert.Assert(t, told.last.Attempts[0].Host != silent)
 		}
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, reacher.tries, 3)
+		assert.Equal(t, reacher.tries.Load(), int64(3))
 		hosts := make(map[mesh.HostID]bool)
 		for range 200 {
 			st.Handle(t.Context(), request("/o/x", nil))
