Soak the real program with faults from outside; let calls of upstreams wait, and late requests yield

The soak starts six proxies as processes of the built program, with stand-ins for the store and the upstreams in the test process and a forwarder before each node and before the store, and injects 24 kinds of faults by a seed: signals (stop, kill, pause, reload), links that are cut, silent one way or both, slow or forgotten, a store that refuses, drops, loses answers, forgets or keeps watches, upstreams that drain, vanish, slow down, shed, cut or repeat answers, versions singly and in storms. It checks at most one run, true refusals, whose answers they are, services, drained upstreams, versions that never fall and are in force in time, planned stops that cut nothing, and recovery. Clock faults are not injected. A proxy can announce another address than it listens on, which the forwarders need.

Change: routes on which only hosts beside other services call are told at the gate, and such calls wait until three typical times before their deadline. A request's wait leaves 2.5 typical times before its target; one that came back and can't meet it yields. Refused requests come back after 40% of their target. Strain counts after 32 completions.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,13 @@
 	$(GO) build -modfile=tools/go.mod -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative internal/wire/wire.proto
 
+# Plays fresh seeds of the soak: real processes with faults from outside.
+# SEEDS is how many; KEEP names a folder for the logs of those that fail.
+.PHONY: soak
+SEEDS ?= 50
+soak:
+	$(GO) test -count=1 -timeout 4h ./internal/soak -run Soak -seeds $(SEEDS) $(if $(KEEP),-keep $(KEEP))
+
 # Prints the slopes from which docs/CAPACITY.md is worked out; takes about half an hour.
 .PHONY: capacity
 capacity: build
--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -145,6 +145,8 @@
 	AdmitUntil time.Time
 	// Nodes counts the nodes that share budgets, this one included.
 	Nodes int
+	// Share is the part of the nodes that stand beside an upstream of Own's service.
+	Share float64
 	Phase Phase
 }
 
--- a/internal/conf/proxy.go
+++ b/internal/conf/proxy.go
@@ -42,6 +42,9 @@
 	Admin netip.AddrPort `yaml:"admin" validate:"address"`
 	// Ready is where the platform asks whether the proxy is ready.
 	Ready netip.AddrPort `yaml:"ready" validate:"address"`
+	// Announce is where other proxies reach Nodes, when that is another address;
+	// the zero value means Nodes itself.
+	Announce netip.AddrPort `yaml:"announce"`
 }
 
 // Repeats bounds the requests that all proxies together send to a second upstream.
--- a/internal/ctrl/sight.go
+++ b/internal/ctrl/sight.go
@@ -38,11 +38,23 @@
 	s.rebuild(now)
 	s.Traffic.Set(cells.ProxyTraffic{
 		Plan: held.Plan, Sets: s.sets, Own: guest.Upstream, AdmitUntil: guest.AdmitUntil,
-		Nodes: max(1, s.Roster.Read().Len()), Phase: s.Phase.Get(),
+		Nodes: max(1, s.Roster.Read().Len()), Share: s.share(guest.Service), Phase: s.Phase.Get(),
 	})
 	s.Published.Send(held.Plan.Version())
 }
 
+// share returns the part of the nodes that stand beside an upstream of the service.
+func (s *sight) share(service mesh.Service) float64 {
+	own, all := 0, 0
+	for name, set := range s.sets {
+		all += len(set.Candidates())
+		if name == service {
+			own = len(set.Candidates())
+		}
+	}
+	return float64(own) / float64(max(all, 1))
+}
+
 // rebuild renews the sets when a record changed.
 func (s *sight) rebuild(now time.Time) {
 	roster := s.Roster.Read()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -204,6 +204,7 @@
 	p.handler.Gate, p.handler.Form = &p.gate, p.platform.Headers
 	p.handler.Unreachable, p.handler.Unanswered = p.unreachable, p.ends.unanswered
 	p.handler.Handed = func() { p.steerer.Budget.Ran(time.Now()) }
+	p.handler.Share = func() float64 { return p.cells.Traffic.Load().Share }
 	p.handler.Calls = func() float64 { return p.steerer.Budget.Calls(time.Now(), p.settings.Load().Service) }
 	p.peers.Calls, p.peers.Controls = &p.handler, p.links
 }
@@ -212,7 +213,7 @@
 func (p *Proxy) startControl() {
 	settings := p.settings.Load()
 	p.cells.Self.Set(cells.ProxySelf{
-		Host: settings.Host, Place: p.place(), Node: sock.AddressOf(p.nodes),
+		Host: settings.Host, Place: p.place(), Node: p.announced(),
 		Link: int64(settings.Limits.Link * bytesPerMegabit), Started: p.started, Heartbeat: settings.Heartbeat,
 	})
 	p.cells.LinkOut.Handle = p.links.Handle
@@ -272,6 +273,14 @@
 	return mesh.Place{Region: settings.Region, Zone: settings.Zone}
 }
 
+// announced returns the address that other proxies are told.
+func (p *Proxy) announced() netip.AddrPort {
+	if announce := p.settings.Load().Listen.Announce; announce.IsValid() {
+		return announce
+	}
+	return sock.AddressOf(p.nodes)
+}
+
 // leaving reports whether the proxy tells everyone that it leaves.
 func (p *Proxy) leaving() bool {
 	phase := p.cells.Phase.Load()
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -98,6 +98,9 @@
 	// not block.
 	Handed func()
 	Calls  func() float64
+	// Share tells which part of all hosts stands beside the upstream's service; nil
+	// for none. It must not block.
+	Share func() float64
 
 	// Form is how requests to the upstream are marked; nil means that of
 	// docs/INTERFACE.md. It must not change once SetTarget was called.
@@ -107,6 +110,7 @@
 	upstream atomic.Pointer[upstream]
 	counters Counters
 	lengths  lengths
+	origins  origins
 }
 
 // Counters counts the calls by their end.
@@ -204,8 +208,8 @@
 	v.turn = turn
 	work := gate.Work{Priority: mesh.Priority(v.call.Head.GetPriority()), Class: v.call.Head.GetRoute()}
 	work.Deadline, _ = ctx.Deadline()
-	if within := v.call.Head.GetStartWithinMicros(); within > 0 {
-		work.StartBy = v.arrived.Add(time.Duration(within) * time.Microsecond)
+	if within := h.startWithin(v); within > 0 {
+		work.StartBy = v.arrived.Add(within)
 	}
 	ticket, err := h.Gate.EnterAs(ctx, work)
 	if err != nil {
@@ -233,6 +237,16 @@
 	result = h.handOver(ctx, v)
 }
 
+// startWithin returns how long a call may wait for its slot; zero for no bound.
+func (h *Handler) startWithin(v *visit) time.Duration {
+	head := v.call.Head
+	within := head.GetStartWithinMicros()
+	if h.Share != nil && h.origins.note(head.GetRoute(), mesh.Service(head.GetCallerService()), v.up.service, h.Share()) {
+		within = max(within, head.GetPatientMicros())
+	}
+	return time.Duration(within) * time.Microsecond
+}
+
 // giveBack refuses a call that was not handed over. One with a claim gives that
 // back, and is not to be tried at another host meanwhile, where the claim would
 // make it doubtful.
--- /dev/null
+++ b/internal/soak/store_test.go
@@ -0,0 +1,159 @@
+package soak_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusstep.example/arbutusstep/internal/objapi"
+	"arbutusstep.example/arbutusstep/internal/store"
+)
+
+// platform serves the objects of the stand-in in the form that proxies speak.
+// Faults are those of the stand-in; links before it add their own.
+type platform struct {
+	objects *objapi.Server
+	client  *store.Client
+	server  *http.Server
+	address string
+}
+
+// object is the JSON form of an object.
+type object struct {
+	Metadata struct {
+		Name     string `json:"name"`
+		Revision uint64 `json:"revision,omitempty"`
+	} `json:"metadata"`
+	Spec json.RawMessage `json:"spec,omitempty"`
+}
+
+func formOf(o store.Object) (formed object) {
+	_, formed.Metadata.Name, _ = strings.Cut(o.Key, "/")
+	formed.Metadata.Revision, formed.Spec = o.Version, o.Value
+	return formed
+}
+
+func newPlatform(t *testing.T) *platform {
+	p := &platform{objects: new(objapi.Server)}
+	assert.NilError(t, p.objects.Start(anyPort))
+	t.Cleanup(func() { assert.NilError(t, p.objects.Stop(context.Background())) })
+	p.client = store.New(store.Options{
+		Address: p.objects.Addr(), Host: "platform", Wait: time.Second, Timeout: 10 * time.Second,
+		Budget: &store.Budget{Rate: 1e6, Burst: 1e6},
+	})
+	t.Cleanup(p.client.Close)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{kind}", p.list)
+	mux.HandleFunc("POST /objects/{kind}", p.create)
+	mux.HandleFunc("GET /objects/{kind}/{name}", p.get)
+	mux.HandleFunc("PUT /objects/{kind}/{name}", p.update)
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.remove)
+	p.server, p.address = serveHTTP(t, "127.0.0.1:0", mux)
+	return p
+}
+
+func key(r *http.Request) string {
+	return r.PathValue("kind") + "/" + r.PathValue("name")
+}
+
+// reply answers with what is given, or as the stand-in failed.
+func reply(w http.ResponseWriter, value any, err error) {
+	var conflict *store.ConflictError
+	status := http.StatusOK
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		status, value = http.StatusConflict, formOf(conflict.Current)
+	case errors.Is(err, store.ErrNotFound):
+		status, value = http.StatusNotFound, struct{}{}
+	case errors.Is(err, store.ErrGone):
+		status, value = http.StatusGone, struct{}{}
+	case errors.Is(err, store.ErrUnavailable):
+		status, value = http.StatusServiceUnavailable, struct{}{}
+	default:
+		// The outcome of a write is not known: neither is it to the caller.
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (p *platform) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.PathValue("kind") + "/"
+	if from := r.URL.Query().Get("watch"); from != "" {
+		p.watch(w, r, prefix, from)
+		return
+	}
+	found, revision, err := p.client.List(r.Context(), prefix)
+	answer := struct {
+		Items []object `json:"items"`
+		At    uint64   `json:"at"`
+	}{At: revision}
+	for _, o := range found {
+		answer.Items = append(answer.Items, formOf(o))
+	}
+	reply(w, answer, err)
+}
+
+func (p *platform) watch(w http.ResponseWriter, r *http.Request, prefix, from string) {
+	revision, err := strconv.ParseUint(from, 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	events, next, err := p.client.Watch(r.Context(), prefix, revision)
+	type event struct {
+		Deleted bool   `json:"deleted"`
+		Object  object `json:"object"`
+	}
+	answer := struct {
+		Events []event `json:"events"`
+		At     uint64  `json:"at"`
+	}{Events: []event{}, At: next}
+	for _, e := range events {
+		answer.Events = append(answer.Events, event{Deleted: e.Deleted, Object: formOf(e.Object)})
+	}
+	reply(w, answer, err)
+}
+
+func (p *platform) get(w http.ResponseWriter, r *http.Request) {
+	found, err := p.client.Get(r.Context(), key(r))
+	reply(w, formOf(found), err)
+}
+
+func (p *platform) create(w http.ResponseWriter, r *http.Request) {
+	var body object
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	created, err := p.client.Create(r.Context(), r.PathValue("kind")+"/"+body.Metadata.Name, body.Spec)
+	reply(w, formOf(created), err)
+}
+
+func (p *platform) update(w http.ResponseWriter, r *http.Request) {
+	var body object
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	updated, err := p.client.Update(r.Context(), key(r), body.Spec, body.Metadata.Revision)
+	reply(w, formOf(updated), err)
+}
+
+func (p *platform) remove(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	reply(w, struct{}{}, p.client.Delete(r.Context(), key(r), revision))
+}
--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -50,14 +51,26 @@
 	// waits for a slot, in percent.
 	waitShare      = 50
 	leastWaitShare = 15
+	// slowFactor is by how much the work of most requests stays below, in tenths of
+	// the typical time, and patientFactor what calls of upstreams leave for the
+	// work, in typical times.
+	slowFactor    = 25
+	patientFactor = 3
+	// retryShare is when a refused request should come back, in percent of its
+	// target, and retrySpread by how much that is spread, in percent of it.
+	retryShare  = 40
+	retrySpread = 50
 	// maxAnswer bounds an upstream's answer, in bytes.
 	maxAnswer = 64 << 20
 	// zoneCost and regionCost are what distance costs a short answer, besides the
-	// trip, and bulkZoneCost and bulkRegionCost a long one.
-	zoneCost       = 2 * time.Millisecond
-	regionCost     = 60 * time.Millisecond
-	bulkZoneCost   = 150 * time.Millisecond
-	bulkRegionCost = time.Second
+	// trip.
+	zoneCost   = 2 * time.Millisecond
+	regionCost = 60 * time.Millisecond
+	// longHostShare, longZoneShare and longRegionShare are what distance costs a long
+	// answer, in percent of its target; one of this host crosses one link less.
+	longHostShare   = 15
+	longZoneShare   = 40
+	longRegionShare = 120
 )
 
 // asCallError returns the error as one of a call.
@@ -110,7 +123,7 @@
 	if j.rule.Target > 0 {
 		return j.rule.Target
 	}
-	return j.end.Allowed / 2
+	return j.rule.Timeout / 2
 }
 
 // mayRepeat reports whether a request that reached an upstream may be sent to
@@ -142,6 +155,9 @@
 	retryAfter := noUpstreamRetry
 	if failed = cmp.Or(failed, j.last); failed != nil {
 		reason, retryAfter = failed.Reason, min(max(failed.RetryAfter, leastRetry), mostRetry)
+		if serve.Busy(failed.Reason) {
+			retryAfter = max(retryAfter, s.comeBack(j))
+		}
 	}
 	switch {
 	case j.unknown && (reason == peer.ReasonDeadline || errors.Is(ctx.Err(), context.DeadlineExceeded)):
@@ -153,6 +169,13 @@
 	}
 }
 
+// comeBack returns when a request that was refused for load should be sent
+// again: in time for its target, and not all at once.
+func (s *Steerer) comeBack(j *job) time.Duration {
+	usual := s.target(j) * retryShare / 100
+	return usual - usual*retrySpread/200 + rand.N(max(usual*retrySpread/100, 1))
+}
+
 // own returns an answer of this node's own.
 func (s *Steerer) own(j *job, status int, reason string, retryAfter time.Duration) *front.Answer {
 	j.end.Reason, j.end.RetryAfter = reason, retryAfter
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -77,6 +77,7 @@
 
 	Picker pick.Picker
 	Budget retry.Window
+	times  times
 
 	calls atomic.Uint64
 }
@@ -93,6 +94,8 @@
 	// arrivals counts the attempts that may have reached an upstream.
 	arrivals int
 	deadline time.Time
+	// passed is how much time the caller's earlier attempts had used up.
+	passed time.Duration
 	// unknown is set once an attempt may have run.
 	unknown bool
 	// last is the last failure of an attempt, nil when there was none.
@@ -137,6 +140,7 @@
 	}
 	j.rule, j.service = rule, rule.Choose(rand.Float64())
 	j.end.Rule, j.end.Service, j.end.Rank = rule.Name, j.service, rule.Rank
+	j.passed = s.times.passed(rule.Name, timeout)
 	if timeout == 0 || timeout > rule.Timeout {
 		timeout = rule.Timeout
 	}
@@ -172,7 +176,7 @@
 func (s *Steerer) run(ctx context.Context, j *job) *front.Answer {
 	for {
 		candidate, expected, err := s.Picker.Cheapest(time.Now(), pick.Cheap{
-			Set: j.traffic.Sets[j.service], From: s.Place, Tried: j.tried, Class: j.rule.Name, Places: placesOf(j.rule),
+			Set: j.traffic.Sets[j.service], From: s.Place, Here: s.Host, Tried: j.tried, Class: j.rule.Name, Places: s.placesOf(j),
 			Long: j.rule.Kind == plan.Download,
 		})
 		if err != nil {
@@ -206,20 +210,31 @@
 
 // startWithin returns how long a request may wait for its slot from now on: a
 // request that starts later would be of little use and keep others from theirs.
+// One that can't meet its target any more may wait for long, and yields to those
+// that can.
 func (s *Steerer) startWithin(j *job) time.Duration {
 	latest := j.end.Allowed * waitShare / 100
-	if j.rule.Target > 0 {
-		latest = min(latest, j.rule.Target-s.Picker.ExpectedOf(j.rule.Name))
+	typical := s.Picker.ExpectedOf(j.rule.Name)
+	if target := s.target(j) - j.passed; target > typical {
+		latest = min(latest, max(target-slowFactor*typical/10, j.end.Allowed*leastWaitShare/100))
 	}
-	latest = max(latest, j.end.Allowed*leastWaitShare/100)
 	return max(latest-time.Since(j.request.Arrived), time.Microsecond)
 }
 
+// patience is startWithin for a call that an upstream makes while it runs
+// another request, which would be lost if the call were refused.
+func (s *Steerer) patience(j *job) time.Duration {
+	latest := j.end.Allowed - patientFactor*s.Picker.ExpectedOf(j.rule.Name)
+	return max(latest-time.Since(j.request.Arrived), s.startWithin(j))
+}
+
 // placesOf tells what distance costs a request of the rule. Long answers are
 // dear on the way, and are kept near while that serves them.
-func placesOf(rule *plan.Rule) pick.Places {
-	if rule.Kind == plan.Download {
-		return pick.Places{Zone: bulkZoneCost, Region: bulkRegionCost}
+func (s *Steerer) placesOf(j *job) pick.Places {
+	if j.rule.Kind == plan.Download {
+		return pick.Places{
+			Host: s.target(j) * longHostShare / 100, Zone: s.target(j) * longZoneShare / 100, Region: s.target(j) * longRegionShare / 100,
+		}
 	}
 	return pick.Places{Zone: zoneCost, Region: regionCost}
 }
@@ -278,6 +293,7 @@
 		Service: string(j.service), Method: j.request.Method, Path: j.request.Target, Headers: s.headers(j),
 		Priority: uint32(priorityOf(j.rule.Rank)), Idempotent: j.rule.Kind.Repeatable(), BodyLength: int64(len(j.request.Body)),
 		CallerRegion: string(s.Place.Region), Route: j.rule.Name, Id: j.end.ID, StartWithinMicros: s.startWithin(j).Microseconds(),
+		PatientMicros: s.patience(j).Microseconds(), CallerService: string(s.Service()),
 		Attempt: string(s.Host) + "-" + strconv.FormatUint(s.calls.Add(1), 36),
 	}
 	call := &peer.Call{Head: head, Fresh: len(j.tried) > 1, Body: bodyOf(j.request.Body)}
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -266,6 +266,31 @@
 	}
 }
 
+func TestRequestThatCameBackYieldsOnceItsTargetIsMissed(t *testing.T) {
+	tests := []struct {
+		name string
+		// left is the time that the caller gives; others gave 200 ms, and the target
+		// is 100 ms.
+		left string
+		// least and most bound the time within which it must start.
+		least, most time.Duration
+	}{
+		{name: "a first attempt", left: "200ms", least: 90 * time.Millisecond, most: 100 * time.Millisecond},
+		{name: "a second one that can meet its target", left: "150ms", least: 45 * time.Millisecond, most: 51 * time.Millisecond},
+		{name: "a second one that can't", left: "80ms", least: 36 * time.Millisecond, most: 40 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{outcomes: []outcome{{status: http.StatusOK}}}
+			st, _ := newSteerer(t, plan.Idempotent, 1, s)
+			st.Handle(t.Context(), request("/o/x", map[string]string{"timeout": "200ms"}))
+			st.Handle(t.Context(), request("/o/x", map[string]string{"timeout": tt.left}))
+			within := time.Duration(s.calls[1].GetStartWithinMicros()) * time.Microsecond
+			assert.Assert(t, within >= tt.least && within <= tt.most, "%v", within)
+		})
+	}
+}
+
 func TestRequestThatWaitedAtABusyHostIsNotOfferedToAnother(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/pkg/gate/strain.go
+++ b/pkg/gate/strain.go
@@ -5,6 +5,9 @@
 const (
 	// strainWorks is how many works must run before their ages tell anything.
 	strainWorks = 3
+	// strainEnds is how many works must have ended before: the first ones to end are
+	// the short ones, and make all others look slow.
+	strainEnds = 32
 	// usualAge is the age of running work in service times on a well upstream, on
 	// average.
 	usualAge = 0.5
@@ -20,6 +23,8 @@
 	// began is the time of the first work.
 	began time.Time
 	works int
+	// ends counts the works that have ended.
+	ends int
 	// rates is the sum of one over the expected service times, in seconds, and
 	// starts that of the times of start since began in service times.
 	rates, starts float64
@@ -39,6 +44,7 @@
 // end takes in that the work has ended.
 func (s *strain) end(w *Work) {
 	s.works--
+	s.ends++
 	s.rates -= 1 / w.expected.Seconds()
 	s.starts -= w.started.Sub(s.began).Seconds() / w.expected.Seconds()
 	if s.works == 0 {
@@ -49,7 +55,7 @@
 // slowness returns by which factor service times are longer than they were, at
 // least 1.
 func (s *strain) slowness(now time.Time) float64 {
-	if s.works < strainWorks {
+	if s.works < strainWorks || s.ends < strainEnds {
 		return 1
 	}
 	age := (now.Sub(s.began).Seconds()*s.rates - s.starts) / float64(s.works)
--- a/pkg/pick/cheap.go
+++ b/pkg/pick/cheap.go
@@ -28,16 +28,18 @@
 
 // Places tells what it costs to go to another place, as time.
 type Places struct {
-	// Zone is for another zone of the region, and Region for another region.
-	Zone, Region time.Duration
+	// Host is for another host, Zone for another zone of the region, and Region for
+	// another region.
+	Host, Zone, Region time.Duration
 }
 
 // Cheap asks for the upstream that should answer soonest, all costs counted as time.
 type Cheap struct {
 	// Set holds the service's upstreams.
 	Set *Set
-	// From is where the caller's node stands.
+	// From is where the caller's node stands, and Here its host.
 	From mesh.Place
+	Here mesh.HostID
 	// Tried lists the hosts not to choose again.
 	Tried []mesh.HostID
 	// Class names what takes about the same time everywhere, such as a rule.
@@ -89,7 +91,9 @@
 func (p *Picker) cost(now time.Time, c *Candidate, h *host, request *Cheap) float64 {
 	cost := p.expected(now, c, h, request)
 	switch {
+	case c.Host == request.Here:
 	case c.Place == request.From:
+		cost += float64(request.Places.Host)
 	case c.Place.Region == request.From.Region:
 		cost += float64(request.Places.Zone)
 	default:
