Let refusals tell how slow an upstream is, and keep a few long works from closing a gate

Downloads whose target was missed took the link from others.

Change: strain counts only where 60% of the slots are busy. Refusals tell how long the upstream would have worked, and the choice counts that as its pace; the pace of a slow host fades, since it is not chosen and shows nothing. A request refused for load goes to another host within a quarter of its patience. Work of unknown length is taken for a third of the target.

--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -41,6 +41,9 @@
 	Told        bool
 	LoadPercent int
 	Link        time.Duration
+	// Need is how long the far node's upstream would have worked on the call, zero
+	// when that is not known.
+	Need time.Duration
 	// Err is the cause, or nil when the far node's word is the cause.
 	Err error
 }
--- a/internal/peer/outcome.go
+++ b/internal/peer/outcome.go
@@ -57,5 +57,6 @@
 		Told:        true,
 		LoadPercent: int(head.GetLoadPercent()),
 		Link:        time.Duration(head.GetLinkMicros()) * time.Microsecond,
+		Need:        time.Duration(head.GetNeedMicros()) * time.Microsecond,
 	}
 }
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -33,9 +33,6 @@
 	ReasonLink = "link-late"
 )
 
-// outcomeUnknown says that the upstream may have run a call.
-const outcomeUnknown = wire.Outcome_OUTCOME_UNKNOWN
-
 // gatePrefix starts the reasons that the gate gives.
 const gatePrefix = "gate-"
 
@@ -132,15 +129,15 @@
 func (h *Handler) ServeCall(ctx context.Context, call *peer.Call, reply peer.ReplyWriter) {
 	up := h.upstream.Load()
 	if up == nil || !up.takes(call.Head.GetService()) {
-		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonNoUpstream, 0)
+		h.refuse(call, reply, refusal{reason: ReasonNoUpstream})
 		return
 	}
 	if up.closed(time.Now()) {
-		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonLeaving, 0)
+		h.refuse(call, reply, refusal{reason: ReasonLeaving})
 		return
 	}
 	if int(call.Head.GetPriority()) >= mesh.NumPriorities {
-		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonBadCall, 0)
+		h.refuse(call, reply, refusal{reason: ReasonBadCall})
 		return
 	}
 	if keyed(call.Head) {
@@ -159,13 +156,13 @@
 // that no slot is held while a claim is written.
 func (h *Handler) serveKeyed(ctx context.Context, up *upstream, call *peer.Call, reply peer.ReplyWriter) {
 	if h.Claims == nil {
-		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonClaim, 0)
+		h.refuse(call, reply, refusal{reason: ReasonClaim})
 		return
 	}
 	verdict, err := h.Claims.Claim(ctx, call)
 	switch {
 	case err != nil:
-		h.refuse(call, reply, wire.Outcome_OUTCOME_NOT_RUN, ReasonClaim, 0)
+		h.refuse(call, reply, refusal{reason: ReasonClaim})
 	case verdict.Action == Replay:
 		h.replay(reply, verdict.Answer)
 	case verdict.Action == InDoubt:
@@ -173,7 +170,7 @@
 		if reason == "" {
 			reason = ReasonInDoubt
 		}
-		h.refuse(call, reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
+		h.refuse(call, reply, refusal{unknown: true, reason: reason})
 	default:
 		h.run(ctx, &visit{up: up, call: call, reply: reply, claims: h.Claims, until: verdict.Until})
 	}
@@ -194,6 +191,9 @@
 	arrived, handed time.Time
 	// turn is the answer's use of the link; nil for one that is expected to be short.
 	turn *egress.Turn
+	// need is how long the upstream would have worked on a call that the gate
+	// refused; zero when that is not known.
+	need time.Duration
 }
 
 // run waits at the gate and hands the call over.
@@ -217,6 +217,7 @@
 		if !errors.As(err, &refused) {
 			refused = &gate.Refused{}
 		}
+		v.need = refused.Need
 		h.giveBack(v, gatePrefix+refused.Reason.String(), refused.RetryAfter)
 		return
 	}
@@ -247,17 +248,6 @@
 	return time.Duration(within) * time.Microsecond
 }
 
-// giveBack refuses a call that was not handed over. One with a claim gives that
-// back, and is not to be tried at another host meanwhile, where the claim would
-// make it doubtful.
-func (h *Handler) giveBack(v *visit, reason string, after time.Duration) {
-	if v.claims != nil {
-		v.claims.Released(v.call)
-		reason, after = claimedPrefix+reason, max(after, claimedRetry)
-	}
-	h.refuse(v.call, v.reply, wire.Outcome_OUTCOME_NOT_RUN, reason, after)
-}
-
 // handOver gives the call to the upstream and passes the answer back.
 func (h *Handler) handOver(ctx context.Context, v *visit) (result gate.Result) {
 	v.handed = time.Now()
@@ -275,7 +265,7 @@
 		if errors.Is(err, errUnsealed) {
 			reason = ReasonUnsealed
 		}
-		h.refuse(v.call, v.reply, wire.Outcome_OUTCOME_UNKNOWN, reason, 0)
+		h.refuse(v.call, v.reply, refusal{unknown: true, reason: reason})
 		return gate.Result{Failed: true}
 	}
 	if response.ContentLength >= 0 && response.StatusCode < http.StatusMultipleChoices {
@@ -374,45 +364,3 @@
 	_ = reply.WriteHead(head)
 	_, _ = reply.Write(answer.Body)
 }
-
-func (h *Handler) refuse(
-	call *peer.Call, reply peer.ReplyWriter, outcome wire.Outcome, reason string, after time.Duration,
-) {
-	if h.Unanswered != nil {
-		h.Unanswered(call.Head, outcome, reason, h.Gate.Load())
-	}
-	if outcome == wire.Outcome_OUTCOME_NOT_RUN {
-		h.counters.NotRun.Add(1)
-	} else {
-		h.counters.Unknown.Add(1)
-	}
-	_ = reply.WriteHead(&wire.ReplyHead{
-		Outcome:          outcome,
-		Reason:           reason,
-		LoadPercent:      h.load(),
-		LinkMicros:       h.linkWait().Microseconds(),
-		RetryAfterMicros: after.Microseconds(),
-	})
-}
-
-func (h *Handler) load() uint32 {
-	return uint32(max(0, h.Gate.Load().Percent()))
-}
-
-func (h *Handler) callsPercent() uint32 {
-	if h.Calls == nil {
-		return 0
-	}
-	return uint32(h.Calls() * 100)
-}
-
-func unknownReason(ctx context.Context) string {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return peer.ReasonDeadline
-	case ctx.Err() != nil:
-		return peer.ReasonCanceled
-	default:
-		return ReasonLost
-	}
-}
--- a/internal/serve/long.go
+++ b/internal/serve/long.go
@@ -90,7 +90,7 @@
 	}
 	if !errors.Is(err, io.EOF) {
 		h.counters.Cut.Add(1)
-		h.refuse(v.call, v.reply, outcomeUnknown, unknownReason(ctx), 0)
+		h.refuse(v.call, v.reply, refusal{unknown: true, reason: unknownReason(ctx)})
 		return false
 	}
 	v.leave()
@@ -120,16 +120,3 @@
 		return v.reply.Flush()
 	})
 }
-
-// linkWait returns how long a long answer that came now would wait for the link.
-func (h *Handler) linkWait() time.Duration {
-	if h.Link == nil {
-		return 0
-	}
-	return h.Link.Wait()
-}
-
-// workedFor returns the time since then in microseconds, at least 1.
-func workedFor(since time.Time) int64 {
-	return max(1, time.Since(since).Microseconds())
-}
--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -38,9 +38,9 @@
 	// first version, in percent, and usualTimeout the time of one that names none.
 	versionWaitShare = 10
 	usualTimeout     = 2 * time.Second
-	// busyShare is the part of its target, in percent, within which a request that a
-	// busy host refused is offered to another one. Later it is refused at once.
-	busyShare = 12
+	// busyShare is the part of its patience, in percent, within which a request that
+	// a busy host refused is offered to another one. Later it is refused at once.
+	busyShare = 25
 	// noVersionRetry and noUpstreamRetry are when a caller should come back.
 	noVersionRetry  = 400 * time.Millisecond
 	noUpstreamRetry = 150 * time.Millisecond
@@ -56,6 +56,9 @@
 	// work, in typical times.
 	slowFactor    = 25
 	patientFactor = 3
+	// unknownShare is which part of its target the work of a rule without a sample is
+	// taken for, as a divisor.
+	unknownShare = 3
 	// retryShare is when a refused request should come back, in percent of its
 	// target, and retrySpread by how much that is spread, in percent of it.
 	retryShare  = 40
@@ -82,7 +85,7 @@
 }
 
 // outcomeOf tells the picker how a failed call ended.
-func outcomeOf(ctx context.Context, failed *peer.CallError) pick.Outcome {
+func outcomeOf(ctx context.Context, failed *peer.CallError, class string) pick.Outcome {
 	gone := errors.Is(ctx.Err(), context.Canceled)
 	expired := failed.Reason == peer.ReasonDeadline && ctx.Err() != nil
 	return pick.Outcome{
@@ -93,6 +96,7 @@
 		LoadPercent: failed.LoadPercent,
 		Gone:        gone,
 		LinkTold:    failed.Told, Link: failed.Link,
+		Service: pick.Service{Class: class, Need: failed.Need},
 	}
 }
 
@@ -113,7 +117,7 @@
 		return false
 	}
 	if !reached {
-		return !serve.Busy(failed.Reason) || time.Since(j.request.Arrived) < s.target(j)*busyShare/100
+		return !serve.Busy(failed.Reason) || time.Since(j.request.Arrived) < s.patience(j)*busyShare/100
 	}
 	return s.mayRepeat(j)
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -214,17 +214,26 @@
 // that can.
 func (s *Steerer) startWithin(j *job) time.Duration {
 	latest := j.end.Allowed * waitShare / 100
-	typical := s.Picker.ExpectedOf(j.rule.Name)
-	if target := s.target(j) - j.passed; target > typical {
+	typical := s.typical(j)
+	// A long answer that is late would keep others from their host's link.
+	if target := s.target(j) - j.passed; target > typical || j.rule.Kind == plan.Download {
 		latest = min(latest, max(target-slowFactor*typical/10, j.end.Allowed*leastWaitShare/100))
 	}
 	return max(latest-time.Since(j.request.Arrived), time.Microsecond)
 }
 
+// typical returns how long upstreams usually work on a request.
+func (s *Steerer) typical(j *job) time.Duration {
+	if typical := s.Picker.ExpectedOf(j.rule.Name); typical > 0 {
+		return typical
+	}
+	return s.target(j) / unknownShare
+}
+
 // patience is startWithin for a call that an upstream makes while it runs
 // another request, which would be lost if the call were refused.
 func (s *Steerer) patience(j *job) time.Duration {
-	latest := j.end.Allowed - patientFactor*s.Picker.ExpectedOf(j.rule.Name)
+	latest := j.end.Allowed - patientFactor*s.typical(j)
 	return max(latest-time.Since(j.request.Arrived), s.startWithin(j))
 }
 
@@ -256,7 +265,7 @@
 	now := time.Now()
 	if err != nil {
 		failed = asCallError(err)
-		outcome = outcomeOf(ctx, failed)
+		outcome = outcomeOf(ctx, failed, j.rule.Name)
 		if unreachable(failed) {
 			s.watchUnreached(candidate)
 		}
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -206,7 +206,7 @@
 	if !q.config.Foresight {
 		return typical
 	}
-	slowness := q.strain.slowness(now)
+	slowness := q.strain.slowness(now, q.limit.current(now))
 	if e := q.classes[w.Class]; e != nil && slowness > 1 {
 		// Without a completion the estimate has faded, though work runs.
 		typical = max(typical, e.last())
@@ -350,7 +350,7 @@
 
 func (q *Queue) refuse(now time.Time, w *Work, reason Reason) {
 	w.state = Rejected
-	w.refused = Refused{Reason: reason, RetryAfter: q.retryAfter(now, w, reason)}
+	w.refused = Refused{Reason: reason, RetryAfter: q.retryAfter(now, w, reason), Need: q.need(now, w)}
 	q.settled = append(q.settled, w)
 }
 
--- a/pkg/gate/strain.go
+++ b/pkg/gate/strain.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// strainWorks is how many works must run before their ages tell anything.
-	strainWorks = 3
+	// strainShare is the part of the slots that must be busy before the ages of what
+	// runs tell anything, in percent: a few works that take long must not keep the
+	// other slots empty.
+	strainShare = 60
 	// strainEnds is how many works must have ended before: the first ones to end are
 	// the short ones, and make all others look slow.
 	strainEnds = 32
@@ -54,8 +56,8 @@
 
 // slowness returns by which factor service times are longer than they were, at
 // least 1.
-func (s *strain) slowness(now time.Time) float64 {
-	if s.works < strainWorks || s.ends < strainEnds {
+func (s *strain) slowness(now time.Time, slots int) float64 {
+	if s.works*100 < slots*strainShare || s.works == 0 || s.ends < strainEnds {
 		return 1
 	}
 	age := (now.Sub(s.began).Seconds()*s.rates - s.starts) / float64(s.works)
--- a/pkg/gate/work.go
+++ b/pkg/gate/work.go
@@ -40,6 +40,9 @@
 	Reason Reason
 	// RetryAfter is how long the caller should leave this upstream alone; it may be zero.
 	RetryAfter time.Duration
+	// Need is how long the upstream is expected to work on the request, zero when
+	// that is not known.
+	Need time.Duration
 }
 
 // Error implements error.
--- a/pkg/pick/cheap.go
+++ b/pkg/pick/cheap.go
@@ -11,6 +11,15 @@
 const (
 	// paceGain is the weight of a new sample in a host's pace.
 	paceGain = 0.15
+	// needGain is the same for what a refusal tells, which is a mean already.
+	needGain = 0.5
+	// slowPace is the pace from which a host counts as slow, and slowHalf the time in
+	// which what is above it halves.
+	slowPace = 2.0
+	slowHalf = 2 * time.Second
+	// leastPace and mostPace bound one sample of a pace.
+	leastPace = 0.1
+	mostPace  = 10
 	// typicalGain is the weight of a new sample in a class's typical service time.
 	typicalGain = 0.05
 	// defaultService stands for the service time of a class without a sample.
@@ -57,6 +66,9 @@
 	// Work is how long the upstream worked, and AtNode how long the request was at
 	// its node; zero when not told.
 	Work, AtNode time.Duration
+	// Need is how long the upstream would have worked on a request that its gate
+	// refused, zero when not told.
+	Need time.Duration
 }
 
 // Cheapest returns the host with the least expected cost, and what it expects
@@ -109,10 +121,7 @@
 	if t := p.typical[request.Class]; t > 0 {
 		service = t
 	}
-	pace := h.pace
-	if pace == 0 {
-		pace = 1
-	}
+	pace := h.paceAt(now)
 	if !c.Since.IsZero() && now.Sub(c.Since) < coldTime {
 		pace = max(pace, coldPace)
 	}
@@ -211,7 +220,7 @@
 }
 
 // tell takes in how a flight ended.
-func (h *host) tell(p *Picker, o Outcome) {
+func (h *host) tell(now time.Time, p *Picker, o Outcome) {
 	if o.Shed || !o.NotRun && !o.Busy {
 		h.noteFailure(o.Shed || o.Failed)
 	}
@@ -219,11 +228,15 @@
 		// What a long answer takes on its way says nothing of the trip.
 		o.Latency = 0
 	}
-	h.learn(p, o.Latency, o.Service)
+	h.learn(now, p, o.Latency, o.Service)
 }
 
 // learn takes in what an answer told of the work at its host.
-func (h *host) learn(p *Picker, total time.Duration, s Service) {
+func (h *host) learn(now time.Time, p *Picker, total time.Duration, s Service) {
+	if typical := p.typical[s.Class]; s.Need > 0 && typical > 0 {
+		// A host that refuses what it would not finish in time tells nothing else.
+		h.notePace(now, needGain, float64(s.Need)/typical)
+	}
 	if s.Work <= 0 {
 		return
 	}
@@ -235,11 +248,7 @@
 	if typical == 0 {
 		typical = work
 	}
-	ratio := min(max(work/typical, 0.1), 10)
-	if h.pace == 0 {
-		h.pace = 1
-	}
-	h.pace += paceGain * (ratio - h.pace)
+	h.notePace(now, paceGain, work/typical)
 	p.typical[s.Class] = typical + typicalGain*(work-typical)
 	if trip := float64(total - s.AtNode); trip > 0 {
 		if h.trip == 0 {
@@ -249,6 +258,24 @@
 	}
 }
 
+// notePace takes in the ratio of a service time to the typical one.
+func (h *host) notePace(now time.Time, gain, ratio float64) {
+	pace := h.paceAt(now)
+	h.pace, h.pacedAt = pace+gain*(min(max(ratio, leastPace), mostPace)-pace), now
+}
+
+// paceAt returns the pace as it counts now: that of a slow host fades, since a
+// host that is not chosen shows nothing better.
+func (h *host) paceAt(now time.Time) float64 {
+	switch {
+	case h.pace == 0:
+		return 1
+	case h.pace <= slowPace:
+		return h.pace
+	}
+	return slowPace + (h.pace-slowPace)*math.Exp2(-float64(now.Sub(h.pacedAt))/float64(slowHalf))
+}
+
 // ExpectedOf returns the typical service time of a class, zero when unknown.
 func (p *Picker) ExpectedOf(class string) time.Duration {
 	p.mutex.Lock()
--- a/pkg/pick/cheap_test.go
+++ b/pkg/pick/cheap_test.go
@@ -73,6 +73,31 @@
 				return start
 			},
 		},
+		{
+			name: "the other one, once the nearer refused what it would not finish", second: near, want: "h2",
+			happen: func(p *pick.Picker) time.Time {
+				answer(p, start, "h2", pick.Outcome{})
+				p.Begin(start, "h1").End(start, pick.Outcome{
+					NotRun: true, Busy: true, Service: pick.Service{Class: "c", Need: time.Second},
+				})
+				return start
+			},
+		},
+		{
+			name: "the nearer one, long after it refused, while the other is busy", second: near, want: "h1",
+			happen: func(p *pick.Picker) time.Time {
+				answer(p, start, "h2", pick.Outcome{})
+				for range 5 {
+					p.Begin(start, "h1").End(start, pick.Outcome{
+						NotRun: true, Busy: true, Service: pick.Service{Class: "c", Need: time.Second},
+					})
+				}
+				for range 12 {
+					p.Begin(start, "h2")
+				}
+				return start.Add(30 * time.Second)
+			},
+		},
 		{
 			name: "the one that answers, while the other leaves requests waiting", second: near, want: "h2",
 			happen: func(p *pick.Picker) time.Time {
--- a/pkg/pick/host.go
+++ b/pkg/pick/host.go
@@ -69,6 +69,8 @@
 	// before the first, and trip the mean time that requests are on their way, in
 	// nanoseconds.
 	pace, trip float64
+	// pacedAt is when pace was last told.
+	pacedAt time.Time
 	// late holds the lateness of short and of long answers, see kind.
 	late [2]lateness
 	// link is the wait for the host's link that was reported at linkAt.
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -165,7 +165,7 @@
 		f.host.link, f.host.linkAt = outcome.Link, now
 	}
 	f.host.end(now, f.began, outcome)
-	f.host.tell(f.picker, outcome)
+	f.host.tell(now, f.picker, outcome)
 	f.picker.release(f.id, f.host)
 }
 
