Keep herds from hosts that just came, and ask a failing platform seldom

A host that had just come back had no failures on record, so all 69 nodes sent there at once: 164 requests waited at one gate within 100 ms, admitted since a gate without a sample foresees nothing, and were refused late.

Change: a host that is not known fails as the others do; where no load was told lately, the choice assumes that all nodes send there as this one does. Calls carry the typical time of their rule, which a gate without a sample uses. Only readers ask a failing platform often; what one node reads for itself backs off to 3 s. Calls of upstreams go before others of their rank. What an upstream refuses beside free slots may come back soon.

--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -45,6 +45,9 @@
 	Node fleet.Node
 	// Version is the object's, the condition; zero when it must not exist.
 	Version uint64
+	// Patient is true for FollowObjects when nobody else waits for what is followed,
+	// so that failures are retried seldom.
+	Patient bool
 }
 
 // Object is an object as the platform told it.
--- a/internal/ctrl/feed.go
+++ b/internal/ctrl/feed.go
@@ -46,8 +46,8 @@
 	// wanted holds the links on which versions were asked for.
 	wanted map[cells.LinkID]bool
 	// following is true while the platform is asked for records, and reading also
-	// for versions.
-	following, reading bool
+	// for versions; forOthers is true while that is done as a reader.
+	following, reading, forOthers bool
 }
 
 func newFeed(set *cells.Proxy) board.Controller {
@@ -184,23 +184,23 @@
 	default:
 		reading = false
 	}
-	f.read(reading, reading || !loaded)
+	f.read(reading, reading || !loaded, own)
 }
 
-// read follows the kinds that this proxy has to read itself.
-func (f *feed) read(versions, records bool) {
-	f.follow(cells.Versions, versions, f.reading)
-	f.follow(cells.Records, records, f.following)
-	f.reading, f.following = versions, records
+// read follows the kinds that this proxy has to read itself, or for others.
+func (f *feed) read(versions, records, forOthers bool) {
+	f.follow(cells.Versions, versions, f.reading, forOthers)
+	f.follow(cells.Records, records, f.following, forOthers)
+	f.reading, f.following, f.forOthers = versions, records, forOthers
 	if versions != f.Reading.Get() {
 		f.Reading.Set(versions)
 	}
 }
 
-func (f *feed) follow(kind cells.ObjectKind, next, present bool) {
+func (f *feed) follow(kind cells.ObjectKind, next, present, forOthers bool) {
 	switch {
-	case next && !present:
-		f.ObjectOut.Send(cells.ObjectCommand{Action: cells.FollowObjects, Kind: kind})
+	case next && (!present || forOthers && !f.forOthers):
+		f.ObjectOut.Send(cells.ObjectCommand{Action: cells.FollowObjects, Kind: kind, Patient: !forOthers})
 	case !next && present:
 		f.ObjectOut.Send(cells.ObjectCommand{Action: cells.LeaveObjects, Kind: kind})
 	}
--- a/internal/ctrl/record.go
+++ b/internal/ctrl/record.go
@@ -14,7 +14,7 @@
 	// putFirst and putLongest bound the jittered wait before a write that failed
 	// is tried again.
 	putFirst   = 50 * time.Millisecond
-	putLongest = 500 * time.Millisecond
+	putLongest = time.Second
 	// firstWordWait is how long a restarted proxy waits for its upstream's word
 	// before it replaces the record of the process before.
 	firstWordWait = 2 * time.Second
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -19,7 +19,11 @@
 const (
 	// retryFirst and retryLongest bound the jittered wait after a failed call.
 	retryFirst   = 50 * time.Millisecond
-	retryLongest = time.Second
+	retryLongest = 700 * time.Millisecond
+	// patientFirst and patientLongest are the same for a follower that only its own
+	// node waits for: all nodes ask when the platform fails.
+	patientFirst   = 200 * time.Millisecond
+	patientLongest = 3 * time.Second
 	// writeTime bounds one write.
 	writeTime = 700 * time.Millisecond
 	// listTime bounds one list.
@@ -87,7 +91,7 @@
 		d.stop(command.Kind)
 		ctx, cancel := context.WithCancel(d.ctx)
 		d.leave[command.Kind] = cancel
-		d.running.Go(func() { d.follow(ctx, command.Kind) })
+		d.running.Go(func() { d.follow(ctx, command.Kind, backoffOf(command)) })
 	case cells.LeaveObjects:
 		d.stop(command.Kind)
 	default:
@@ -114,9 +118,15 @@
 	return d.kinds.Records + "/"
 }
 
+func backoffOf(command cells.ObjectCommand) store.Backoff {
+	if command.Patient {
+		return store.Backoff{Base: patientFirst, Max: patientLongest}
+	}
+	return store.Backoff{Base: retryFirst, Max: retryLongest}
+}
+
 // follow tells the objects of a kind and their changes until the context ends.
-func (d *Driver) follow(ctx context.Context, kind cells.ObjectKind) {
-	backoff := store.Backoff{Base: retryFirst, Max: retryLongest}
+func (d *Driver) follow(ctx context.Context, kind cells.ObjectKind, backoff store.Backoff) {
 	from, listed := uint64(0), false
 	for ctx.Err() == nil {
 		var err error
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -181,6 +181,33 @@
 	}
 }
 
+func TestPatientFollowersAskSeldomWhileThePlatformFails(t *testing.T) {
+	tests := []struct {
+		name    string
+		patient bool
+		// least and most bound the calls in 30 s.
+		least, most int
+	}{
+		{name: "a reader", least: 50, most: 300},
+		{name: "one that only its own node waits for", patient: true, least: 5, most: 45},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scripted{}
+				for range 1000 {
+					s.lists = append(s.lists, fmt.Errorf("%w: down", store.ErrUnavailable))
+				}
+				driver, _ := newDriver(s)
+				driver.Handle(cells.ObjectCommand{Action: cells.FollowObjects, Kind: cells.Versions, Patient: tt.patient})
+				time.Sleep(30 * time.Second)
+				driver.Close()
+				assert.Assert(t, len(s.calls) >= tt.least && len(s.calls) <= tt.most, "%d", len(s.calls))
+			})
+		})
+	}
+}
+
 func TestWritesTellWhatTheyKnowOfTheObject(t *testing.T) {
 	node := fleet.Node{Host: "h1"}
 	tests := []struct {
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -206,12 +206,7 @@
 	}
 	defer turn.End()
 	v.turn = turn
-	work := gate.Work{Priority: mesh.Priority(v.call.Head.GetPriority()), Class: v.call.Head.GetRoute()}
-	work.Deadline, _ = ctx.Deadline()
-	if within := h.startWithin(v); within > 0 {
-		work.StartBy = v.arrived.Add(within)
-	}
-	ticket, err := h.Gate.EnterAs(ctx, work)
+	ticket, err := h.Gate.EnterAs(ctx, h.workOf(ctx, v))
 	if err != nil {
 		var refused *gate.Refused
 		if !errors.As(err, &refused) {
@@ -238,14 +233,25 @@
 	result = h.handOver(ctx, v)
 }
 
-// startWithin returns how long a call may wait for its slot; zero for no bound.
-func (h *Handler) startWithin(v *visit) time.Duration {
+// workOf returns what the gate is told of a call. One that an upstream makes may
+// wait longer and goes before the others of its priority: with it the request
+// would be lost that the upstream runs.
+func (h *Handler) workOf(ctx context.Context, v *visit) (work gate.Work) {
 	head := v.call.Head
+	work = gate.Work{
+		Priority: mesh.Priority(head.GetPriority()), Class: head.GetRoute(),
+		Typical: time.Duration(head.GetTypicalMicros()) * time.Microsecond,
+	}
+	work.Deadline, _ = ctx.Deadline()
 	within := head.GetStartWithinMicros()
 	if h.Share != nil && h.origins.note(head.GetRoute(), mesh.Service(head.GetCallerService()), v.up.service, h.Share()) {
 		within = max(within, head.GetPatientMicros())
+		work.Priority = min(work.Priority+1, mesh.Urgent)
+	}
+	if within > 0 {
+		work.StartBy = v.arrived.Add(time.Duration(within) * time.Microsecond)
 	}
-	return time.Duration(within) * time.Microsecond
+	return work
 }
 
 // handOver gives the call to the upstream and passes the answer back.
--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -61,7 +61,7 @@
 	unknownShare = 3
 	// retryShare is when a refused request should come back, in percent of its
 	// target, and retrySpread by how much that is spread, in percent of it.
-	retryShare  = 40
+	retryShare  = 20
 	retrySpread = 50
 	// maxAnswer bounds an upstream's answer, in bytes.
 	maxAnswer = 64 << 20
@@ -159,7 +159,8 @@
 	retryAfter := noUpstreamRetry
 	if failed = cmp.Or(failed, j.last); failed != nil {
 		reason, retryAfter = failed.Reason, min(max(failed.RetryAfter, leastRetry), mostRetry)
-		if serve.Busy(failed.Reason) {
+		if serve.Busy(failed.Reason) && failed.Reason != serve.ReasonRefused {
+			// What an upstream refuses beside free slots it refuses for no load.
 			retryAfter = max(retryAfter, s.comeBack(j))
 		}
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -177,7 +177,7 @@
 	for {
 		candidate, expected, err := s.Picker.Cheapest(time.Now(), pick.Cheap{
 			Set: j.traffic.Sets[j.service], From: s.Place, Here: s.Host, Tried: j.tried, Class: j.rule.Name, Places: s.placesOf(j),
-			Long: j.rule.Kind == plan.Download,
+			Long: j.rule.Kind == plan.Download, Peers: j.traffic.Nodes,
 		})
 		if err != nil {
 			return s.giveUp(ctx, j, nil)
@@ -303,7 +303,8 @@
 		Priority: uint32(priorityOf(j.rule.Rank)), Idempotent: j.rule.Kind.Repeatable(), BodyLength: int64(len(j.request.Body)),
 		CallerRegion: string(s.Place.Region), Route: j.rule.Name, Id: j.end.ID, StartWithinMicros: s.startWithin(j).Microseconds(),
 		PatientMicros: s.patience(j).Microseconds(), CallerService: string(s.Service()),
-		Attempt: string(s.Host) + "-" + strconv.FormatUint(s.calls.Add(1), 36),
+		TypicalMicros: s.Picker.ExpectedOf(j.rule.Name).Microseconds(),
+		Attempt:       string(s.Host) + "-" + strconv.FormatUint(s.calls.Add(1), 36),
 	}
 	call := &peer.Call{Head: head, Fresh: len(j.tried) > 1, Body: bodyOf(j.request.Body)}
 	if candidate.Host == s.Host {
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -193,10 +193,10 @@
 
 // typical returns the service time of the work by what was completed.
 func (q *Queue) typical(now time.Time, w *Work) time.Duration {
-	if e := q.classes[w.Class]; e != nil {
+	if e := q.classes[w.Class]; e != nil && !e.updated.IsZero() {
 		return e.get(now, q.limit.pace)
 	}
-	return q.serviceTime(now, w.Priority)
+	return max(q.serviceTime(now, w.Priority), w.Typical)
 }
 
 // need returns the estimated service time of the work. With foresight it counts
--- a/pkg/gate/queue_test.go
+++ b/pkg/gate/queue_test.go
@@ -375,6 +375,30 @@
 	}
 }
 
+func TestGateWithoutASampleTrustsWhatOthersKnow(t *testing.T) {
+	tests := []struct {
+		name    string
+		typical time.Duration
+		want    State
+	}{
+		{name: "nothing known", want: Waiting},
+		{name: "quick work", typical: 10 * time.Millisecond, want: Waiting},
+		{name: "work that the queue leaves no time", typical: 300 * time.Millisecond, want: Rejected},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var q Queue
+			q.Configure(simStart, Config{Slots: 1, Fixed: true, Foresight: true})
+			startBy := simStart.Add(500 * time.Millisecond)
+			q.Offer(simStart, &Work{Class: "c", Typical: tt.typical})
+			q.Offer(simStart, &Work{Class: "c", Typical: tt.typical, StartBy: startBy})
+			offered := &Work{Class: "c", Typical: tt.typical, StartBy: startBy}
+			q.Offer(simStart, offered)
+			assert.Equal(t, offered.State(), tt.want)
+		})
+	}
+}
+
 func TestUpstreamThatHangsGetsNoWorkThatItWouldNotFinish(t *testing.T) {
 	const took = 100 * time.Millisecond
 	tests := []struct {
--- a/pkg/gate/work.go
+++ b/pkg/gate/work.go
@@ -84,6 +84,9 @@
 	StartBy time.Time
 	// Class names what takes about the same time; empty for the priority's own.
 	Class string
+	// Typical is how long others work on such work, for a gate without a sample of
+	// its own; zero when that is not known.
+	Typical time.Duration
 
 	state   State
 	refused Refused
--- a/pkg/pick/cheap.go
+++ b/pkg/pick/cheap.go
@@ -57,6 +57,8 @@
 	Places Places
 	// Long is true when long answers are expected, which wait for their host's link.
 	Long bool
+	// Peers is how many nodes choose among the same hosts; zero counts as one.
+	Peers int
 }
 
 // Service is what an answer told of the work at its host.
@@ -78,6 +80,7 @@
 	defer p.mutex.Unlock()
 	v := p.view(now, request.Set)
 	best, least, usable := -1, math.Inf(1), false
+	usual := v.failRate()
 	for i := range v.hosts {
 		c, h := &request.Set.candidates[i], v.hosts[i]
 		if slices.Contains(request.Tried, c.Host) {
@@ -87,7 +90,7 @@
 		if usable && !ok {
 			continue
 		}
-		cost := p.cost(now, c, h, &request) * (1 + jitter*float64(p.intN(chances))/chances)
+		cost := p.cost(now, c, h, &request, usual) * (1 + jitter*float64(p.intN(chances))/chances)
 		if best < 0 || ok && !usable || cost < least {
 			best, least, usable = i, cost, usable || ok
 		}
@@ -96,12 +99,12 @@
 		return candidate, 0, &NoneError{Service: request.Set.ID(), Known: len(request.Set.Candidates()), Tried: len(request.Tried)}
 	}
 	c, h := &request.Set.candidates[best], v.hosts[best]
-	return *c, time.Duration(p.expected(now, c, h, &request)), nil
+	return *c, time.Duration(p.expected(now, c, h, &request, usual)), nil
 }
 
 // cost is the expected time with what distance costs, in nanoseconds.
-func (p *Picker) cost(now time.Time, c *Candidate, h *host, request *Cheap) float64 {
-	cost := p.expected(now, c, h, request)
+func (p *Picker) cost(now time.Time, c *Candidate, h *host, request *Cheap, usual float64) float64 {
+	cost := p.expected(now, c, h, request, usual)
 	switch {
 	case c.Host == request.Here:
 	case c.Place == request.From:
@@ -115,8 +118,9 @@
 }
 
 // expected is the time until the answer, in nanoseconds: the work at the host's
-// pace, the wait for a slot, the trip, and how late its answers are.
-func (p *Picker) expected(now time.Time, c *Candidate, h *host, request *Cheap) float64 {
+// pace, the wait for a slot, the trip, and how late its answers are. A host that
+// is not known yet fails as the others usually do.
+func (p *Picker) expected(now time.Time, c *Candidate, h *host, request *Cheap, usual float64) float64 {
 	service := float64(defaultService)
 	if t := p.typical[request.Class]; t > 0 {
 		service = t
@@ -128,10 +132,18 @@
 	slots := float64(max(c.Slots, 1))
 	// The load that was reported holds this node's own requests of then.
 	busy := max(h.latestReport(now)*slots+float64(h.inFlight-h.inFlightThen), float64(h.inFlight))
+	if now.Sub(h.reportedAt) >= reportLimit {
+		// Nothing tells what the others send there: they find it as cheap as this node.
+		busy = float64(h.inFlight * max(request.Peers, 1))
+	}
 	wait := max(0, busy+1-slots) / slots
 	// A host that is nearly full answers slower and leaves no room for others.
 	crowd := busy / slots * crowding
-	cost := service*pace*(1+wait+crowd) + h.trip + h.failRate*float64(failCost) + h.late[kind(request.Long)].cost(now)
+	fails := h.failRate
+	if !h.judged {
+		fails = usual
+	}
+	cost := service*pace*(1+wait+crowd) + h.trip + fails*float64(failCost) + h.late[kind(request.Long)].cost(now)
 	if request.Long {
 		cost += h.linkWait(now)
 	}
@@ -153,6 +165,19 @@
 		sample = 1
 	}
 	h.failRate += failGain * (sample - h.failRate)
+	h.judged = true
+}
+
+// failRate returns the mean rate of failures of the hosts that are known.
+func (v *view) failRate() float64 {
+	sum, known := 0.0, 0
+	for _, h := range v.hosts {
+		if h.judged {
+			sum += h.failRate
+			known++
+		}
+	}
+	return sum / float64(max(known, 1))
 }
 
 // Unreached notes that a host's node does not answer, so that no request is
--- a/pkg/pick/cheap_test.go
+++ b/pkg/pick/cheap_test.go
@@ -41,8 +41,9 @@
 		name   string
 		second mesh.Place
 		long   bool
-		// here is the caller's node.
-		here mesh.HostID
+		// here is the caller's node, and peers how many nodes choose as it does.
+		here  mesh.HostID
+		peers int
 		// happen is what the picker learns before, at the time that is returned.
 		happen func(p *pick.Picker) (now time.Time)
 		want   mesh.HostID
@@ -156,6 +157,23 @@
 				return start
 			},
 		},
+		{
+			name: "the one that is known to have room, although another got little of this node", second: near, peers: 60, want: "h2",
+			happen: func(p *pick.Picker) time.Time {
+				answer(p, start, "h2", pick.Outcome{LoadPercent: 25})
+				p.Begin(start, "h1")
+				return start
+			},
+		},
+		{
+			name: "the nearer one that refuses as all do, and not a far one that just came", second: away, want: "h1",
+			happen: func(p *pick.Picker) time.Time {
+				for range 40 {
+					answer(p, start, "h1", pick.Outcome{NotRun: true, Busy: true, Shed: true})
+				}
+				return start
+			},
+		},
 		{
 			name: "the own one of two in the zone", second: home, here: "h2", want: "h2",
 			happen: func(*pick.Picker) time.Time { return start },
@@ -173,7 +191,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p := &pick.Picker{Random: rand.New(rand.NewPCG(1, 2))}
-			request := pick.Cheap{Set: twoHosts(home, tt.second), From: home, Here: tt.here, Class: "c", Places: places, Long: tt.long}
+			request := pick.Cheap{Set: twoHosts(home, tt.second), From: home, Here: tt.here, Peers: tt.peers, Class: "c", Places: places, Long: tt.long}
 			// What is learned is kept for the hosts of the sets that were asked for.
 			_, _, err := p.Cheapest(start, request)
 			assert.NilError(t, err)
--- a/pkg/pick/host.go
+++ b/pkg/pick/host.go
@@ -80,6 +80,8 @@
 	unreached bool
 	// failRate is the mean share of requests that the upstream failed or refused.
 	failRate float64
+	// judged is true once an answer or a failure told something of failRate.
+	judged bool
 	// latest is the load last reported, as a fraction of the limit.
 	latest float64
 	// inFlightThen is what inFlight was when reported was last told.
