--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -65,9 +65,9 @@
 	retrySpread = 50
 	// maxAnswer bounds an upstream's answer, in bytes.
 	maxAnswer = 64 << 20
-	// zoneCost and regionCost are what distance costs a short answer, besides the
-	// trip.
-	zoneCost   = 2 * time.Millisecond
+	// zoneShare is what another zone costs a short answer, in percent of its target,
+	// and regionCost what another region does, besides the trip.
+	zoneShare  = 4
 	regionCost = 60 * time.Millisecond
 	// longHostShare, longZoneShare and longRegionShare are what distance costs a long
 	// answer, in percent of its target; one of this host crosses one link less.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -245,7 +245,8 @@
 			Host: s.target(j) * longHostShare / 100, Zone: s.target(j) * longZoneShare / 100, Region: s.target(j) * longRegionShare / 100,
 		}
 	}
-	return pick.Places{Zone: zoneCost, Region: regionCost}
+	zone := s.target(j) * zoneShare / 100
+	return pick.Places{Zone: zone, Region: zone + regionCost}
 }
 
 // attempt calls one upstream once and reads its whole answer.
