Choose readers only when something changed, and index the holders of addresses

Change: the roster keeps who holds an address, readers are chosen anew when a record or the hosts passed over changed, the gate is configured when the slots change, and a reader is dialled once at a time.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -166,6 +166,8 @@
 	// Revision is the platform's that it was last complete up to.
 	Revision uint64
 	entries  map[mesh.HostID]RosterEntry
+	// holders names, by address, the host whose record of it is the latest.
+	holders map[netip.AddrPort]mesh.HostID
 	// gone holds the version at which a record was removed.
 	gone map[mesh.HostID]uint64
 	// log holds the hosts whose records changed, the oldest first; it is bounded.
@@ -180,7 +182,8 @@
 // Put takes in a record unless a later one is known.
 func (r *Roster) Put(entry RosterEntry) (changed bool) {
 	host := entry.Node.Host
-	if old, ok := r.entries[host]; ok && old.Version >= entry.Version {
+	old, known := r.entries[host]
+	if known && old.Version >= entry.Version {
 		return false
 	}
 	if r.gone[host] >= entry.Version && r.gone[host] > 0 {
@@ -190,10 +193,42 @@
 		r.entries = make(map[mesh.HostID]RosterEntry)
 	}
 	r.entries[host] = entry
+	r.take(entry)
+	if known && old.Node.Address != entry.Node.Address {
+		r.release(old.Node.Address)
+	}
 	r.note(host)
 	return true
 }
 
+// take makes the record's host the holder of its address unless another recorded
+// that later.
+func (r *Roster) take(entry RosterEntry) {
+	address, host := entry.Node.Address, entry.Node.Host
+	if holder := r.entries[r.holders[address]]; holder.Version > entry.Version {
+		return
+	}
+	if r.holders == nil {
+		r.holders = make(map[netip.AddrPort]mesh.HostID)
+	}
+	r.holders[address] = host
+}
+
+// release finds the holder of an address that a host has given up.
+func (r *Roster) release(address netip.AddrPort) {
+	holder, version := mesh.HostID(""), uint64(0)
+	for host, e := range r.entries {
+		if e.Node.Address == address && e.Version > version {
+			holder, version = host, e.Version
+		}
+	}
+	if holder == "" {
+		delete(r.holders, address)
+		return
+	}
+	r.holders[address] = holder
+}
+
 // Remove forgets a record unless one later than the version is known.
 func (r *Roster) Remove(host mesh.HostID, version uint64) (changed bool) {
 	old, ok := r.entries[host]
@@ -208,6 +243,7 @@
 		return false
 	}
 	delete(r.entries, host)
+	r.release(old.Node.Address)
 	r.note(host)
 	return true
 }
@@ -271,13 +307,7 @@
 // Holds reports whether a node is the last that recorded its address: another
 // host may have got the address of one that is gone.
 func (r *Roster) Holds(n fleet.Node) bool {
-	version := r.entries[n.Host].Version
-	for _, e := range r.entries {
-		if e.Node.Address == n.Address && e.Version > version {
-			return false
-		}
-	}
-	return true
+	return r.holders[n.Address] == n.Host
 }
 
 // Hosts lists the hosts that have a record, sorted.
--- a/internal/ctrl/feed.go
+++ b/internal/ctrl/feed.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"net/netip"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
@@ -41,10 +42,17 @@
 	steady time.Time
 	// out holds until when a host is passed over as a reader.
 	out map[mesh.HostID]time.Time
-	// dialed holds when each reader was last dialled.
-	dialed map[mesh.HostID]time.Time
+	// dialed holds when each reader was last dialled, and dialing the addresses whose
+	// dial has not ended.
+	dialed  map[mesh.HostID]time.Time
+	dialing map[netip.AddrPort]bool
 	// wanted holds the links on which versions were asked for.
 	wanted map[cells.LinkID]bool
+	// targets are the readers, which are chosen anew once mark differs from the
+	// roster's or stale is set.
+	targets []fleet.Node
+	mark    int
+	stale   bool
 	// following is true while the platform is asked for records, and reading also
 	// for versions; forOthers is true while that is done as a reader.
 	following, reading, forOthers bool
@@ -53,7 +61,7 @@
 func newFeed(set *cells.Proxy) board.Controller {
 	f := &feed{
 		Proxy: set, fresh: make(map[cells.LinkID]time.Time), out: make(map[mesh.HostID]time.Time),
-		dialed: make(map[mesh.HostID]time.Time), wanted: make(map[cells.LinkID]bool),
+		dialed: make(map[mesh.HostID]time.Time), dialing: make(map[netip.AddrPort]bool), wanted: make(map[cells.LinkID]bool), stale: true,
 	}
 	return board.Controller{
 		Name:   "feed",
@@ -72,9 +80,9 @@
 		f.event(e, now)
 	}
 	roster := f.Roster.Read()
-	targets := fleet.Readers(roster.Nodes(), readers, f.isOut(now))
+	f.choose(roster, now)
 	own := false
-	for _, t := range targets {
+	for _, t := range f.targets {
 		if t.Host == f.Self.Get().Host {
 			own = true
 			continue
@@ -85,10 +93,36 @@
 	f.decide(own, roster.Loaded, now)
 }
 
+// choose finds the readers anew when the roster or the hosts passed over changed.
+func (f *feed) choose(roster *cells.Roster, now time.Time) {
+	for host, until := range f.out {
+		if now.Before(until) {
+			f.alarm.Earlier(until)
+			continue
+		}
+		delete(f.out, host)
+		f.stale = true
+	}
+	if f.mark == roster.Mark() && !f.stale {
+		return
+	}
+	f.mark, f.stale = roster.Mark(), false
+	f.targets = fleet.Readers(roster.Nodes(), readers, func(host mesh.HostID) bool {
+		_, out := f.out[host]
+		return out
+	})
+}
+
 func (f *feed) event(e cells.LinkEvent, now time.Time) {
 	switch e.Kind {
 	case cells.LinkUp:
+		if e.Dialed {
+			delete(f.dialing, e.Node)
+		}
 	case cells.LinkDown:
+		if e.Dialed {
+			delete(f.dialing, e.Node)
+		}
 		delete(f.fresh, e.Link)
 		delete(f.wanted, e.Link)
 		if e.Dialed {
@@ -107,6 +141,7 @@
 	for _, n := range f.Roster.Read().Nodes() {
 		if n.Address == e.Node {
 			f.out[n.Host] = now.Add(readerOut)
+			f.stale = true
 			f.Noted.Send(cells.Note{Event: "readerLost", Fields: []cells.Field{
 				{Name: "reader", Value: string(n.Host)}, {Name: "reason", Value: textOf(e.Err)}, {Name: "passedOver", Value: readerOut},
 			}})
@@ -114,24 +149,11 @@
 	}
 }
 
-// isOut reports whether a host is passed over as a reader.
-func (f *feed) isOut(now time.Time) func(host mesh.HostID) bool {
-	return func(host mesh.HostID) bool {
-		until, ok := f.out[host]
-		if !ok {
-			return false
-		}
-		if now.Before(until) {
-			f.alarm.Earlier(until)
-			return true
-		}
-		delete(f.out, host)
-		return false
-	}
-}
-
 // link dials a reader that this proxy has no link to.
 func (f *feed) link(target fleet.Node, now time.Time) {
+	if f.dialing[target.Address] {
+		return
+	}
 	for _, p := range f.Peers.Read().Links() {
 		if peer := f.Peers.Read().Get(p); peer.Dialed && peer.Node == target.Address {
 			return
@@ -141,7 +163,7 @@
 		f.alarm.Earlier(next)
 		return
 	}
-	f.dialed[target.Host] = now
+	f.dialed[target.Host], f.dialing[target.Address] = now, true
 	f.LinkOut.Send(cells.LinkCommand{Action: cells.LinkDial, Node: target.Address})
 }
 
--- a/internal/proxy/apply.go
+++ b/internal/proxy/apply.go
@@ -28,7 +28,8 @@
 		close(p.serving)
 	}
 	own := traffic.Own
-	if own.Slots > 0 {
+	if own.Slots > 0 && own.Slots != p.slots {
+		p.slots = own.Slots
 		p.gate.Configure(gate.Config{Slots: own.Slots, Floors: floors, Fixed: true, Foresight: true})
 	}
 	target := serve.Target{Instance: own.Instance, Service: own.Service}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -122,6 +122,8 @@
 	// the control thread closes it.
 	serving chan struct{}
 	served  bool
+	// slots is what the gate was last configured for; control thread only.
+	slots int
 
 	nodes   net.Listener
 	callers net.Listener
