End calls at their deadline also where a session's frame arrives slowly

Cause: yamux holds a stream's lock while the payload of one frame arrives, so a read can outlast the call's deadline, and what it then returns counted as an answer. Whether head and body came in one frame depended on how the upstream's bytes were read.

--- a/internal/faulty/bandwidth.go
+++ b/internal/faulty/bandwidth.go
@@ -33,11 +33,19 @@
 	if b == nil {
 		return nil
 	}
-	b.mutex.Lock()
-	limiter := b.limiters[direction]
-	b.mutex.Unlock()
-	if limiter == nil {
-		return nil
+	if limiter := b.limiter(direction); limiter != nil {
+		return limiter.WaitN(ctx, size)
 	}
-	return limiter.WaitN(ctx, size)
+	return nil
+}
+
+// bounded reports whether the direction has a bound; a nil Bandwidth has none.
+func (b *Bandwidth) bounded(direction Direction) bool {
+	return b != nil && b.limiter(direction) != nil
+}
+
+func (b *Bandwidth) limiter(direction Direction) *rate.Limiter {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.limiters[direction]
 }
--- a/internal/faulty/pair.go
+++ b/internal/faulty/pair.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -12,6 +13,8 @@
 const (
 	// chunkSize is how much is read at once, in bytes.
 	chunkSize = 16 << 10
+	// packetSize is how much comes out at once where the rate is bounded, in bytes.
+	packetSize = 1400
 	// maxQueue bounds what is under way in one direction of a connection, in chunks.
 	maxQueue = 256
 )
@@ -59,7 +62,7 @@
 	for {
 		buffer := make([]byte, chunkSize)
 		n, err := from.Read(buffer)
-		if n > 0 && !p.enqueue(ctx, direction, queue, buffer[:n]) {
+		if n > 0 && !p.enqueueAll(ctx, direction, queue, buffer[:n]) {
 			return
 		}
 		switch {
@@ -73,6 +76,21 @@
 	}
 }
 
+// enqueueAll queues the data, packet by packet where the rate is bounded. It
+// returns false when the context ended first.
+func (p *pair) enqueueAll(ctx context.Context, direction Direction, queue chan<- chunk, data []byte) bool {
+	size := len(data)
+	if p.link.Bandwidth.bounded(direction) || p.link.own.bounded(direction) {
+		size = packetSize
+	}
+	for part := range slices.Chunk(data, size) {
+		if !p.enqueue(ctx, direction, queue, part) {
+			return false
+		}
+	}
+	return true
+}
+
 // enqueue waits for the bandwidth and queues the data. It returns false when
 // the context ended first.
 func (p *pair) enqueue(ctx context.Context, direction Direction, queue chan<- chunk, data []byte) bool {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -196,11 +196,17 @@
 // receive waits for the head of the answer.
 func (x *exchange) receive() (reply *Reply, err error) {
 	head := &wire.ReplyHead{}
-	if err = x.receiveHead(head); err != nil {
+	err = x.receiveHead(head)
+	answered := head.GetOutcome() == wire.Outcome_OUTCOME_ANSWERED
+	if err == nil && answered {
+		// The session's read can outlast the call while a frame arrives slowly.
+		err = x.ctx.Err()
+	}
+	if err != nil {
 		x.finish(false)
 		return nil, x.unknown(ReasonSession, err)
 	}
-	if head.GetOutcome() == wire.Outcome_OUTCOME_ANSWERED {
+	if answered {
 		return &Reply{Head: head, Body: &replyBody{exchange: x}}, nil
 	}
 	_, drained := io.Copy(io.Discard, &replyBody{exchange: x})
@@ -292,6 +298,9 @@
 		return 0, nil
 	}
 	n, err = b.exchange.readBody(data)
+	if err == nil {
+		err = b.exchange.ctx.Err()
+	}
 	if err == nil {
 		return n, nil
 	}
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -13,6 +13,10 @@
 // It bounds how long other streams of a session wait for one write.
 const flushAbove = 16 << 10
 
+// writePart is the most that one write takes, in bytes. A session's frame holds
+// as much, and whoever reads it waits for all of it, also past its deadline.
+const writePart = 4 << 10
+
 var writeBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
 // Writer encodes frames onto a stream. Frames are collected until Flush, or
@@ -116,7 +120,7 @@
 	data := *buffer
 	w.started = true
 	for len(data) > 0 {
-		part := data[:min(len(data), 2*flushAbove)]
+		part := data[:min(len(data), writePart)]
 		if _, err = w.stream.Write(part); err != nil {
 			return err
 		}
