--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -187,10 +187,10 @@
 	}
 }
 
-func (life *lifetime) change(set func(life *lifetime)) {
-	life.mutex.Lock()
-	defer life.mutex.Unlock()
-	set(life)
+func (l *lifetime) change(set func(life *lifetime)) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	set(l)
 }
 
 // event is a fault at its time.
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -183,28 +183,28 @@
 }
 
 // enter takes a slot, unless the upstream is full or sheds.
-func (life *lifetime) enter() (entered bool) {
-	life.mutex.Lock()
-	defer life.mutex.Unlock()
-	if life.running >= slots*3 || rand.IntN(100) < life.shed {
+func (l *lifetime) enter() (entered bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.running >= slots*3 || rand.IntN(100) < l.shed {
 		return false
 	}
-	life.running++
+	l.running++
 	return true
 }
 
-func (life *lifetime) leave() {
-	life.mutex.Lock()
-	defer life.mutex.Unlock()
-	life.running--
+func (l *lifetime) leave() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.running--
 }
 
 // work returns how long a run takes and whether its answer is cut or followed by another.
-func (life *lifetime) work() (takes time.Duration, cut, extra bool) {
-	life.mutex.Lock()
-	defer life.mutex.Unlock()
-	takes = (workTime/2 + rand.N(workTime)) * time.Duration(life.slow)
-	return takes, rand.IntN(100) < life.cut, rand.IntN(100) < life.extra
+func (l *lifetime) work() (takes time.Duration, cut, extra bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	takes = (workTime/2 + rand.N(workTime)) * time.Duration(l.slow)
+	return takes, rand.IntN(100) < l.cut, rand.IntN(100) < l.extra
 }
 
 // serve runs one request.
