Ask the upstream that was on record whether it serves, after a restart

Cause: a proxy that starts counted its upstream as lost until its next word, up to a heartbeat of 1.5 s later, wrote that to the platform and wrote it back after the word. After a restart of the whole fleet no upstream worked for most of a second.

Change: an upstream that served by the record of the process before is asked on its check path, up to four times 200 ms apart; if the same lifetime answers that it serves, it gets work at once, and the record stays as it is. One that had said that it leaves is never asked. Without an answer all is as before.

Test: internal/ctrl TestRestartedProxyAsksTheUpstreamThatItKnew (three of its cases fail without the check), pkg/fleet TestGuestThatServedIsFoundAgainOnlyByItsName.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -20,6 +20,8 @@
 	Objects board.Inbox[ObjectEvent]
 	// Words brings what the upstream beside the proxy says of itself.
 	Words board.Inbox[Spoken]
+	// Checked brings the answers of upstreams that were asked whether they serve.
+	Checked board.Inbox[Checked]
 	// Unreachable brings the lifetimes of upstreams that could not be connected to.
 	Unreachable board.Inbox[string]
 	// Ordered brings orders to the proxy itself.
@@ -29,6 +31,8 @@
 	LinkOut board.Outbox[LinkCommand]
 	// ObjectOut asks the platform.
 	ObjectOut board.Outbox[ObjectCommand]
+	// CheckOut asks an upstream whether it serves.
+	CheckOut board.Outbox[Check]
 	// Acked names words that may be acknowledged.
 	Acked board.Outbox[Ack]
 	// Published tells that Traffic was replaced.
@@ -82,6 +86,21 @@
 	Ack uint64
 }
 
+// Check asks an upstream whether it serves.
+type Check struct {
+	Address netip.AddrPort
+	// Path is where it answers that.
+	Path string
+}
+
+// Checked is the answer to a Check.
+type Checked struct {
+	// Instance is the lifetime that serves by its own word; empty when none does.
+	Instance string
+	// Reason says why there is none; empty when there is one.
+	Reason string
+}
+
 // Ack says that a word may be acknowledged.
 type Ack struct {
 	Ack     uint64
@@ -93,6 +112,8 @@
 // Guest is the upstream beside the proxy.
 type Guest struct {
 	fleet.Upstream
+	// Doubted is true while it is asked whether it serves as its record says.
+	Doubted bool
 	// AdmitUntil is when no further request may be sent to it; zero while it
 	// neither drains nor left.
 	AdmitUntil time.Time
--- a/internal/ctrl/guest.go
+++ b/internal/ctrl/guest.go
@@ -19,6 +19,10 @@
 	// recordWait bounds the wait for the platform before a word is acknowledged
 	// without its being recorded there.
 	recordWait = 700 * time.Millisecond
+	// maxChecks bounds how often a doubted upstream is asked whether it serves, and
+	// checkAgain is the time between two times; it speaks by itself after a while.
+	maxChecks  = 4
+	checkAgain = 200 * time.Millisecond
 )
 
 // guest keeps what is known of the upstream beside the proxy, and says when its
@@ -32,6 +36,11 @@
 	recalled bool
 	// waiting holds the words that wait for the record, in order.
 	waiting []waitingWord
+	// checking is true while a check is underway; checks counts them, and the next
+	// one is due at checkAt.
+	checking bool
+	checks   int
+	checkAt  time.Time
 }
 
 // waitingWord is a word whose acknowledgement waits.
@@ -45,9 +54,9 @@
 	g := &guest{Proxy: set}
 	return board.Controller{
 		Name:   "guest",
-		Reads:  []board.Ref{&set.Words, &set.Unreachable, &set.Recorded, &g.alarm},
+		Reads:  []board.Ref{&set.Words, &set.Unreachable, &set.Recorded, &set.Checked, &set.Held, &g.alarm},
 		Uses:   []board.Ref{&set.Self},
-		Writes: []board.Ref{&set.Guest, &set.Acked, &set.Noted, &g.alarm},
+		Writes: []board.Ref{&set.Guest, &set.Acked, &set.CheckOut, &set.Noted, &g.alarm},
 		Step:   g.step,
 	}
 }
@@ -62,6 +71,7 @@
 			g.known.Unreachable()
 		}
 	}
+	g.check(now)
 	silence := silentWords * g.Self.Get().Heartbeat
 	g.known.Expire(now, silence)
 	g.publish(now)
@@ -81,6 +91,34 @@
 	g.known.Recall(recorded.Node.Upstream)
 }
 
+// check asks the doubted upstream whether it serves, so that it gets work before
+// its next word.
+func (g *guest) check(now time.Time) {
+	for _, c := range g.Checked.Events() {
+		g.checking, g.checkAt = false, now.Add(checkAgain)
+		found := g.known.Found(now, c.Instance)
+		g.Noted.Send(cells.Note{Event: "upstreamChecked", Fields: []cells.Field{
+			{Name: "instance", Value: g.known.Known().Instance},
+			{Name: "found", Value: found},
+			{Name: "answered", Value: c.Instance},
+			{Name: "reason", Value: c.Reason},
+			{Name: "checks", Value: g.checks},
+		}})
+	}
+	upstream, doubted := g.known.Doubted()
+	service, _ := g.Held.Get().Plan.Service(upstream.Service)
+	if !doubted || g.checking || g.checks == maxChecks || service.Check == "" {
+		return
+	}
+	if now.Before(g.checkAt) {
+		g.alarm.Earlier(g.checkAt)
+		return
+	}
+	g.checking = true
+	g.checks++
+	g.CheckOut.Send(cells.Check{Address: upstream.Address, Path: service.Check})
+}
+
 func (g *guest) hear(s cells.Spoken, now time.Time) {
 	verdict := g.known.Hear(now, s.Word)
 	known := g.known.Known()
@@ -113,7 +151,8 @@
 // publish brings the cell up to date. The gate closes some time after a word
 // that ends new work.
 func (g *guest) publish(now time.Time) {
-	old, next := g.Guest.Get(), cells.Guest{Upstream: g.known.Known()}
+	_, doubted := g.known.Doubted()
+	old, next := g.Guest.Get(), cells.Guest{Upstream: g.known.Known(), Doubted: doubted && (g.checking || g.checks < maxChecks)}
 	if leaves(next.State) {
 		next.AdmitUntil = old.AdmitUntil
 		if next.AdmitUntil.IsZero() || old.Instance != next.Instance || !old.Born.Equal(next.Born) {
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return plan.New(mesh.Version(version), plan.Limits{}, nil, nil)
+	return plan.New(mesh.Version(version), plan.Limits{}, []plan.Service{{Name: "orders", Check: "/serves"}}, nil)
 }
 
 func (testForms) ReadNode(data []byte) (fleet.Node, error) {
@@ -76,6 +76,8 @@
 	cut bool
 	// versions holds every version that was in force, in order.
 	versions []mesh.Version
+	// checks counts how often the upstream was asked whether it serves.
+	checks int
 }
 
 // simLink joins two processes; its messages arrive at the next step.
@@ -99,6 +101,8 @@
 	down bool
 	// pending runs at the next step.
 	pending []func()
+	// serving names the lifetime that answers checks at each host.
+	serving map[mesh.HostID]string
 }
 
 func newSim(t *testing.T, hosts int) *sim {
@@ -127,6 +131,10 @@
 	p.cells.Self.Set(cells.ProxySelf{Host: host, Node: addressOfHost(host), Started: s.now, Heartbeat: time.Second})
 	p.cells.LinkOut.Handle = func(c cells.LinkCommand) { s.pending = append(s.pending, func() { s.link(p, c) }) }
 	p.cells.ObjectOut.Handle = func(c cells.ObjectCommand) { s.pending = append(s.pending, func() { s.object(p, c, trip) }) }
+	p.cells.CheckOut.Handle = func(c cells.Check) {
+		p.checks++
+		s.pending = append(s.pending, func() { p.cells.Checked.Post(cells.Checked{Instance: s.serving[host]}) })
+	}
 	p.cells.Acked.Handle = func(a cells.Ack) { p.acks = append(p.acks, a) }
 	p.cells.Published.Handle = func(v mesh.Version) {
 		if v != 0 && (len(p.versions) == 0 || p.versions[len(p.versions)-1] != v) {
@@ -446,6 +454,52 @@
 	}
 }
 
+func TestRestartedProxyAsksTheUpstreamThatItKnew(t *testing.T) {
+	tests := []struct {
+		name string
+		// last is the state that the upstream told last.
+		last member.State
+		// serving is who answers checks after the restart, empty for nobody.
+		serving string
+		want    member.State
+		checks  int
+		// elsewhere is how many upstreams other proxies know soon after.
+		elsewhere int
+	}{
+		{name: "it serves", last: member.Ready, serving: "i-n03", want: member.Ready, checks: 1, elsewhere: 1},
+		{name: "another lifetime answers", last: member.Ready, serving: "i-other", want: member.Lost, checks: maxChecks},
+		{name: "nobody answers", last: member.Ready, want: member.Lost, checks: maxChecks},
+		{name: "it had said that it leaves", last: member.Draining, serving: "i-n03", want: member.Draining},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 4)
+			s.serving = map[mesh.HostID]string{"n03": tt.serving}
+			p := s.proxies[3]
+			s.speak(p, 1, member.Ready, 1)
+			s.run(time.Second)
+			if tt.last != member.Ready {
+				s.speak(p, 2, tt.last, 2)
+				s.run(time.Second)
+			}
+			recorded := s.objects[cells.Records]["n03"].Version
+			s.kill(p)
+			again := s.start(p.host, false)
+			s.run(checkAgain * (maxChecks + 1))
+			assert.Equal(t, again.cells.Traffic.Load().Own.State, tt.want)
+			assert.Equal(t, again.checks, tt.checks)
+			if tt.want == member.Ready {
+				assert.Equal(t, s.objects[cells.Records]["n03"].Version, recorded, "what is still true was written again")
+			}
+			s.run(2 * time.Second)
+			assert.Equal(t, len(s.proxies[0].cells.Traffic.Load().Sets["orders"].Candidates()), tt.elsewhere)
+			s.speak(again, 3, member.Draining, 9)
+			s.run(time.Second)
+			assert.Equal(t, again.cells.Traffic.Load().Own.State, member.Draining)
+		})
+	}
+}
+
 // restart kills a process and starts the next one of its host.
 func (s *sim) restart(p *simProxy) *simProxy {
 	s.kill(p)
--- a/internal/ctrl/record.go
+++ b/internal/ctrl/record.go
@@ -15,8 +15,8 @@
 	// is tried again.
 	putFirst   = 50 * time.Millisecond
 	putLongest = time.Second
-	// firstWordWait is how long a restarted proxy waits for its upstream's word
-	// before it replaces the record of the process before.
+	// firstWordWait is how long a restarted proxy waits for its upstream's word, or
+	// until it is found, before it replaces the record of the process before.
 	firstWordWait = 2 * time.Second
 )
 
@@ -78,7 +78,7 @@
 		return
 	}
 	wait := r.retryAt
-	if found && r.Guest.Get().Instance == "" && !want.Leaving {
+	if guest := r.Guest.Get(); found && (guest.Instance == "" || guest.Doubted) && !want.Leaving {
 		wait = later(wait, r.Self.Get().Started.Add(firstWordWait))
 	}
 	if now.Before(wait) {
--- /dev/null
+++ b/internal/proxy/check.go
@@ -0,0 +1,37 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+)
+
+// checkTimeout bounds the answer of an upstream that is asked whether it serves.
+const checkTimeout = 400 * time.Millisecond
+
+// check asks the upstream beside the proxy whether it serves, and posts what it
+// answers. It runs on the control thread and does not wait.
+func (p *Proxy) check(check cells.Check) {
+	p.running.Go(func() { p.cells.Checked.Post(p.ask(check)) })
+}
+
+func (p *Proxy) ask(check cells.Check) (checked cells.Checked) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+check.Address.String()+check.Path, http.NoBody)
+	if err != nil {
+		return cells.Checked{Reason: err.Error()}
+	}
+	response, err := p.asks.Do(request)
+	if err != nil {
+		return cells.Checked{Reason: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	checked.Instance = p.platform.Words.Serves(response.StatusCode, response.Header)
+	if checked.Instance == "" {
+		checked.Reason = response.Status
+	}
+	return checked
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,6 +78,9 @@
 	Path() string
 	Announcement(instance string, data []byte) (fleet.Word, error)
 	Farewell(instance string, data []byte) (fleet.Word, error)
+	// Serves reads the answer to the question whether it serves, and returns its
+	// lifetime, empty when it does not.
+	Serves(status int, header http.Header) (instance string)
 }
 
 // Platform is how a proxy speaks with the platform that it runs on.
@@ -122,6 +125,8 @@
 	// the control thread closes it.
 	serving chan struct{}
 	served  bool
+	// asks asks the upstream, on a connection of its own each time, whether it serves.
+	asks http.Client
 	// slots is what the gate was last configured for; control thread only.
 	slots int
 
@@ -202,6 +207,8 @@
 	p.pool.DialTimeout, p.pool.PingTimeout = dialTimeout, pingTimeout(settings.Limits.Link)
 	p.links = links.NewDriver(&p.pool, &p.cells.Links)
 	p.link.SetRate(settings.Limits.Link * bytesPerMegabit * linkShare / 100)
+	p.asks.Transport = &http.Transport{DisableKeepAlives: true}
+	p.asks.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	p.handler.Link, p.front.Link = &p.link, &p.link
 	p.handler.Gate, p.handler.Form = &p.gate, p.platform.Headers
 	p.handler.Unreachable, p.handler.Unanswered = p.unreachable, p.ends.unanswered
@@ -221,6 +228,7 @@
 	p.cells.LinkOut.Handle = p.links.Handle
 	p.cells.ObjectOut.Handle = p.depot.Handle
 	p.cells.Acked.Handle = p.words.acked
+	p.cells.CheckOut.Handle = p.check
 	p.cells.Published.Handle = p.published
 	p.cells.Noted.Handle = p.noted
 	p.cells.Ticked.Handle = p.collect
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -136,6 +136,44 @@
 	}
 }
 
+func TestGuestThatServedIsFoundAgainOnlyByItsName(t *testing.T) {
+	recorded := fleet.Upstream{Instance: "i", Born: first, Sequence: 8, State: member.Ready}
+	tests := []struct {
+		name     string
+		recorded fleet.Upstream
+		// heard is heard before the answer; nil for nothing.
+		heard *fleet.Word
+		found string
+		want  member.State
+		// doubted is true when it may be asked again.
+		doubted bool
+	}{
+		{name: "it answers", recorded: recorded, found: "i", want: member.Ready},
+		{name: "another one answers", recorded: recorded, found: "k", want: member.Lost, doubted: true},
+		{name: "nobody answers", recorded: recorded, want: member.Lost, doubted: true},
+		{name: "it said before that it leaves", recorded: recorded, heard: new(word("i", first, 9, member.Draining)), found: "i", want: member.Draining},
+		{name: "it left before", recorded: recorded, heard: &fleet.Word{Upstream: fleet.Upstream{Instance: "i", Born: first}, Farewell: true}, found: "i", want: member.Left},
+		{name: "it was recorded as draining", recorded: fleet.Upstream{Instance: "i", Born: first, Sequence: 8, State: member.Draining}, found: "i", want: member.Draining},
+		{name: "nothing was recorded", found: "", want: member.Warming},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var g fleet.Guest
+			g.Recall(tt.recorded)
+			if tt.heard != nil {
+				g.Hear(start, *tt.heard)
+			}
+			g.Found(start, tt.found)
+			_, doubted := g.Doubted()
+			assert.Equal(t, g.Known().State, tt.want)
+			assert.Equal(t, doubted, tt.doubted)
+			if tt.want == member.Ready {
+				assert.Assert(t, g.Expire(start.Add(3*time.Second), 3*time.Second), "it is lost when it does not speak")
+			}
+		})
+	}
+}
+
 func TestSilentGuestIsLostUntilItSpeaks(t *testing.T) {
 	var g fleet.Guest
 	g.Hear(start, word("i", first, 1, member.Ready))
--- a/pkg/fleet/guest.go
+++ b/pkg/fleet/guest.go
@@ -42,6 +42,10 @@
 	renewed time.Time
 	// silent is true after the lifetime's words stopped for too long.
 	silent bool
+	// doubted is true while the upstream counts as lost only since this process has
+	// not heard it; before is its state as it was recorded.
+	doubted bool
+	before  member.State
 }
 
 // Known returns what is known of the upstream.
@@ -50,12 +54,14 @@
 }
 
 // Recall takes in what an earlier process of this node had recorded. It binds
-// until the upstream speaks again, and admits no work by itself.
+// until the upstream speaks again, and admits no work by itself: one that served
+// is doubted until then, or until it is found.
 func (g *Guest) Recall(recorded Upstream) {
 	if recorded.Instance == "" || later(g.known, recorded) {
 		return
 	}
-	if recorded.State == member.Ready || recorded.State == member.Warming {
+	before, serves := recorded.State, recorded.State == member.Ready || recorded.State == member.Warming
+	if serves {
 		recorded.State = member.Lost
 	}
 	if recorded.Instance == g.known.Instance && recorded.Born.Equal(g.known.Born) && g.known.State == member.Lost {
@@ -63,6 +69,24 @@
 	}
 	g.known = recorded
 	g.silent = true
+	g.doubted, g.before = serves, before
+}
+
+// Doubted returns the upstream that served by the record and was not heard
+// since; ok is false when there is none.
+func (g *Guest) Doubted() (upstream Upstream, ok bool) {
+	return g.known, g.doubted
+}
+
+// Found takes in that the lifetime answered that it serves. If it is the one that
+// is doubted, it counts as it was recorded.
+func (g *Guest) Found(now time.Time, instance string) (changed bool) {
+	if !g.doubted || g.known.Instance != instance {
+		return false
+	}
+	g.known.State = g.before
+	g.renewed, g.silent, g.doubted = now, false, false
+	return true
 }
 
 // later reports whether a is of a later lifetime than b, or a later word of the same.
@@ -112,7 +136,7 @@
 // replace puts the next record in force and tells whether it says something new.
 func (g *Guest) replace(next Upstream) Verdict {
 	old := g.known
-	g.known = next
+	g.known, g.doubted = next, false
 	old.Sequence, old.Cold = next.Sequence, next.Cold
 	if old.Born.Equal(next.Born) {
 		old.Born = next.Born
@@ -128,7 +152,7 @@
 		return Renewed
 	}
 	g.known.State = member.Left
-	g.renewed = now
+	g.renewed, g.doubted = now, false
 	return Changed
 }
 
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -99,6 +99,9 @@
 	Name mesh.Service
 	// Connections bounds the connections to one upstream; zero means no bound.
 	Connections int
+	// Check is the path on which an upstream answers whether it serves, empty when
+	// it has none.
+	Check string
 }
 
 // Plan is one version of the routes. It never changes; the nil Plan has no rule.
