Keep a stopping proxy's upstream in use until its callers are gone

A roll that takes the busiest machines first, one a second, kept several of twelve archives out at any moment, and lookups were refused for want of slots.

Change: the record says that the node leaves only once the platform has asked twice in vain, and at the latest a second before the proxy stops taking work; the phase withdrawn is new.

Test: internal/ctrl TestDrainingProxyKeepsItsUpstreamInUseUntilItWithdraws; the case draining fails before.

--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -108,14 +108,20 @@
 	Starting Phase = "starting"
 	Serving  Phase = "serving"
 	Draining Phase = "draining"
-	Stopped  Phase = "stopped"
+	// Withdrawn is a draining proxy whose upstream takes no new calls through it.
+	Withdrawn Phase = "withdrawn"
+	Stopped   Phase = "stopped"
 )
 
 // Order is an order to the node itself.
 type Order string
 
-// Drain asks the node to leave without cutting a call.
-const Drain Order = "drain"
+// Drain asks the node to leave without cutting a call, and Withdraw asks a draining
+// proxy to tell the others that its upstream can't be reached through it any more.
+const (
+	Drain    Order = "drain"
+	Withdraw Order = "withdraw"
+)
 
 // Announcement is what the host's upstream says of itself.
 type Announcement struct {
--- a/internal/ctrl/life.go
+++ b/internal/ctrl/life.go
@@ -19,6 +19,7 @@
 const (
 	configured lifeTrigger = "configured"
 	drain      lifeTrigger = "drain"
+	withdraw   lifeTrigger = "withdraw"
 	drained    lifeTrigger = "drained"
 )
 
@@ -53,6 +54,12 @@
 	m.Configure(cells.Draining).
 		Ignore(configured).
 		Ignore(drain).
+		Permit(withdraw, cells.Withdrawn).
+		Permit(drained, cells.Stopped)
+	m.Configure(cells.Withdrawn).
+		Ignore(configured).
+		Ignore(drain).
+		Ignore(withdraw).
 		Permit(drained, cells.Stopped)
 	m.Configure(cells.Stopped).
 		Ignore(configured).
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -500,6 +500,35 @@
 	}
 }
 
+func TestDrainingProxyKeepsItsUpstreamInUseUntilItWithdraws(t *testing.T) {
+	tests := []struct {
+		name   string
+		orders []cells.Order
+		// elsewhere is how many upstreams the other proxies know then.
+		elsewhere int
+		phase     cells.Phase
+	}{
+		{name: "serving", elsewhere: 1, phase: cells.Serving},
+		{name: "draining", orders: []cells.Order{cells.Drain}, elsewhere: 1, phase: cells.Draining},
+		{name: "withdrawn", orders: []cells.Order{cells.Drain, cells.Withdraw}, phase: cells.Withdrawn},
+		{name: "withdraw without a drain", orders: []cells.Order{cells.Withdraw}, elsewhere: 1, phase: cells.Serving},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 4)
+			p := s.proxies[3]
+			s.speak(p, 1, member.Ready, 1)
+			s.run(time.Second)
+			for _, o := range tt.orders {
+				p.cells.Ordered.Post(o)
+				s.run(2 * time.Second)
+			}
+			assert.Equal(t, p.cells.Phase.Load(), tt.phase)
+			assert.Equal(t, len(s.proxies[0].cells.Traffic.Load().Sets["orders"].Candidates()), tt.elsewhere)
+		})
+	}
+}
+
 // restart kills a process and starts the next one of its host.
 func (s *sim) restart(p *simProxy) *simProxy {
 	s.kill(p)
--- a/internal/ctrl/record.go
+++ b/internal/ctrl/record.go
@@ -103,7 +103,7 @@
 	self := r.Self.Get()
 	return fleet.Node{
 		Host: self.Host, Place: self.Place, Address: self.Node, Trip: r.Reached.Get().Trip, Link: self.Link,
-		Leaving: r.Phase.Get() == cells.Draining || r.Phase.Get() == cells.Stopped, Upstream: r.Guest.Get().Upstream,
+		Leaving: r.Phase.Get() == cells.Withdrawn || r.Phase.Get() == cells.Stopped, Upstream: r.Guest.Get().Upstream,
 	}
 }
 
--- a/internal/ctrl/serve.go
+++ b/internal/ctrl/serve.go
@@ -28,8 +28,11 @@
 		s.life.fire(configured)
 	}
 	for _, o := range s.Ordered.Events() {
-		if o == cells.Drain {
+		switch o {
+		case cells.Drain:
 			s.life.fire(drain)
+		case cells.Withdraw:
+			s.life.fire(withdraw)
 		}
 	}
 	if phase := s.life.phase(); phase != s.Phase.Get() {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -294,7 +294,7 @@
 // leaving reports whether the proxy tells everyone that it leaves.
 func (p *Proxy) leaving() bool {
 	phase := p.cells.Phase.Load()
-	return phase == cells.Draining || phase == cells.Stopped
+	return phase == cells.Draining || phase == cells.Withdrawn || phase == cells.Stopped
 }
 
 // Addresses are those that the proxy listens on.
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -20,24 +20,34 @@
 	// missesToLeave is after how many answers that it is not ready the platform
 	// sends the proxy no new work.
 	missesToLeave = 2
+	// withdrawTime is how long before the end of the time for that the other proxies
+	// are told at the latest.
+	withdrawTime = time.Second
 	// quietTime is how long nothing may run before the proxy ends early.
 	quietTime = 700 * time.Millisecond
 	// stopStep is the time between two looks at what runs.
 	stopStep = 50 * time.Millisecond
 )
 
-// Leave tells everyone that the proxy leaves, and serves on until nobody sends
-// it work any more or the time for that is over.
+// Leave tells callers that the proxy leaves, then the other proxies, and serves
+// on until nobody sends it work any more or the time for that is over. The other
+// proxies hear of it once callers are gone, so that the upstream is idle for a
+// short time only.
 func (p *Proxy) Leave() {
 	begun := time.Now()
 	p.cells.Ordered.Post(cells.Drain)
 	stop := p.settings.Load().Stop
 	last := p.StopBy(begun).Add(-min(p.cells.Traffic.Load().Plan.Longest(), stop*answerShare/100))
-	busy := begun
+	busy, withdrawn := begun, false
 	ticker := time.NewTicker(stopStep)
 	defer ticker.Stop()
 	for now := range ticker.C {
-		if p.front.Busy() > 0 || p.gate.Load().Running > 0 || p.ready.missed.Load() < missesToLeave {
+		called := p.ready.missed.Load() < missesToLeave
+		if !withdrawn && (!called || now.After(last.Add(-withdrawTime))) {
+			p.cells.Ordered.Post(cells.Withdraw)
+			withdrawn, busy = true, now
+		}
+		if called || p.front.Busy() > 0 || p.gate.Load().Running > 0 {
 			busy = now
 		}
 		if now.Sub(busy) >= quietTime || now.After(last) {
