--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -191,12 +191,16 @@
 	return e
 }
 
-// typical returns the service time of the work by what was completed.
+// typical returns the service time of the work by what was completed, or else by
+// what others told of such work: other work of its priority may take far longer.
 func (q *Queue) typical(now time.Time, w *Work) time.Duration {
 	if e := q.classes[w.Class]; e != nil && !e.updated.IsZero() {
 		return e.get(now, q.limit.pace)
 	}
-	return max(q.serviceTime(now, w.Priority), w.Typical)
+	if w.Typical > 0 {
+		return w.Typical
+	}
+	return q.serviceTime(now, w.Priority)
 }
 
 // need returns the estimated service time of the work. With foresight it counts
--- a/pkg/gate/queue_test.go
+++ b/pkg/gate/queue_test.go
@@ -399,6 +399,34 @@
 	}
 }
 
+func TestWorkWithoutASampleIsNotTakenForTheLongWorkOfItsPriority(t *testing.T) {
+	tests := []struct {
+		name    string
+		typical time.Duration
+		want    State
+	}{
+		{name: "others know that it is quick", typical: 50 * time.Millisecond, want: Running},
+		{name: "others know that it is long", typical: 400 * time.Millisecond, want: Rejected},
+		{name: "nothing is known of it", want: Rejected},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var q Queue
+			q.Configure(simStart, Config{Slots: 2, Fixed: true, Foresight: true})
+			now := simStart
+			for range 8 {
+				w := &Work{Class: "long"}
+				q.Offer(now, w)
+				now = now.Add(400 * time.Millisecond)
+				q.Done(now, w, Result{})
+			}
+			offered := &Work{Class: "other", Typical: tt.typical, Deadline: now.Add(200 * time.Millisecond)}
+			q.Offer(now, offered)
+			assert.Equal(t, offered.State(), tt.want)
+		})
+	}
+}
+
 func TestUpstreamThatHangsGetsNoWorkThatItWouldNotFinish(t *testing.T) {
 	const took = 100 * time.Millisecond
 	tests := []struct {
