--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -54,6 +54,9 @@
 	ran   []string
 	// hold makes the upstream wait before it answers; nil lets it answer at once.
 	hold atomic.Pointer[chan struct{}]
+	// check is the status with which the upstream answers whether it serves, and
+	// checks counts those questions.
+	check, checks atomic.Int32
 }
 
 // newMesh starts a proxy for each service that is named.
@@ -84,6 +87,20 @@
 	p := &member{instance: fmt.Sprintf("i-%d", number)}
 	p.backend = httptest.NewServer(p)
 	t.Cleanup(p.backend.Close)
+	m.launch(t, p, number)
+	t.Cleanup(func() { p.stop(t) })
+	m.proxies = append(m.proxies, p)
+	// The first words come before the version that names the service.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.speak(t, service, "ready") == http.StatusOK {
+			return poll.Success()
+		}
+		return poll.Continue("not acknowledged")
+	}, patience)
+}
+
+// launch starts the process of a proxy.
+func (m *mesh) launch(t *testing.T, p *member, number int) {
 	settings := conf.DefaultProxy()
 	settings.Host, settings.Region, settings.Zone = core.HostID(fmt.Sprint("h", number)), "ch-west", "lsn-a"
 	settings.Listen = conf.ProxyListen{Callers: anyPort, Nodes: anyPort, Admin: anyPort, Ready: anyPort}
@@ -94,19 +111,12 @@
 		ReadPlan: platform.ReadPlan, Headers: platform.Headers{}, Words: platform.CheckIns{},
 	}, zerolog.Nop())
 	assert.NilError(t, err)
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		assert.NilError(t, p.proxy.Stop(ctx))
-	})
-	m.proxies = append(m.proxies, p)
-	// The first words come before the version that names the service.
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if p.speak(t, service, "ready") == http.StatusOK {
-			return poll.Success()
-		}
-		return poll.Continue("not acknowledged")
-	}, patience)
+}
+
+func (p *member) stop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, p.proxy.Stop(ctx))
 }
 
 // speak sends a word of the upstream and returns the status.
@@ -135,6 +145,12 @@
 
 // ServeHTTP is the upstream: it answers only what is meant for it.
 func (p *member) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/serves" {
+		p.checks.Add(1)
+		w.Header().Set("X-Instance-Id", p.instance)
+		w.WriteHeader(int(p.check.Load()))
+		return
+	}
 	if r.Header.Get("X-Target-Instance") != p.instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -164,7 +180,7 @@
 func document(version int, prefix, service string) []byte {
 	return fmt.Appendf(nil, `{"version":"r%d","listeners":[{"host":"a.example","rule_set":[{"name":"r","kind":"safe",`+
 		`"match":{"path_prefix":%q},"action":{"service":%q,"timeout":"3s","max_attempts":2}}]}],`+
-		`"clusters":[{"name":"orders"},{"name":"prints"}]}`, version, prefix, service)
+		`"clusters":[{"name":"orders","health_path":"/serves"},{"name":"prints","health_path":"/serves"}]}`, version, prefix, service)
 }
 
 // ask sends a request to a proxy and returns the status and the body.
@@ -227,6 +243,37 @@
 	assert.Equal(t, leaving.runs(), before)
 }
 
+func TestUpstreamOnRecordGetsWorkAfterARestartIfItSaysThatItServes(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer int
+		state  string
+		checks int32
+		status int
+	}{
+		{name: "it serves", answer: http.StatusOK, state: "ready", checks: 1, status: http.StatusOK},
+		{name: "it does not", answer: http.StatusServiceUnavailable, state: "lost", checks: 4, status: http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMesh(t, "orders")
+			p := m.proxies[0]
+			p.check.Store(int32(tt.answer))
+			p.stop(t)
+			m.launch(t, p, 0)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				status := p.proxy.Status()
+				if status.Phase == "serving" && status.State == tt.state && p.checks.Load() == tt.checks {
+					return poll.Success()
+				}
+				return poll.Continue("%+v, %d checks", status, p.checks.Load())
+			}, patience)
+			status, _ := p.ask(t, "after", "/o/x")
+			assert.Equal(t, status, tt.status)
+		})
+	}
+}
+
 func TestPlannedStopAnswersWhatItTook(t *testing.T) {
 	m := newMesh(t, "orders", "prints")
 	serving, stopped := m.proxies[0], m.proxies[1]
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -182,6 +182,17 @@
 	}
 }
 
+// answerCheck says whether the lifetime serves.
+func (l *lifetime) answerCheck(w http.ResponseWriter) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.state != "ready" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("X-Instance-Id", l.instance)
+}
+
 // enter takes a slot, unless the upstream is full or sheds.
 func (l *lifetime) enter() (entered bool) {
 	l.mutex.Lock()
@@ -209,6 +220,10 @@
 
 // serve runs one request.
 func (u *upstream) serve(life *lifetime, w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/serves" {
+		life.answerCheck(w)
+		return
+	}
 	id := r.Header.Get("X-Request-Id")
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != life.instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -158,8 +158,8 @@
 		rule("safe", "/s/", "desk"), rule("unsafe", "/u/", "desk"), rule("download", "/p/", "prints"), rule("safe", "/m/", moving),
 	}, ",")
 	return fmt.Appendf(nil, `{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s",`+
-		`"idle_timeout":"15s"},"listeners":[{"host":"a.example","rule_set":[%s]}],"clusters":[{"name":"desk","max_connections":100},`+
-		`{"name":"prints","max_connections":100}]}`, version, rules)
+		`"idle_timeout":"15s"},"listeners":[{"host":"a.example","rule_set":[%s]}],"clusters":[{"name":"desk","max_connections":100,"health_path":"/serves"},`+
+		`{"name":"prints","max_connections":100,"health_path":"/serves"}]}`, version, rules)
 }
 
 func (w *world) newNode(i, number int, region, zone, service string) *node {
