Let an upstream that fails one rule's requests go on with the others

A second read of the breaker: a rule whose requests always fail, with most of the traffic, would have closed the upstream for all rules and customers. A class of work that ends well (less than half of its last few failed) is admitted whatever the others do.

Test: pkg/gate TestClassThatRunsWellIsNotHeldBackByOthers, the second case fails before.

--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -201,7 +201,7 @@
 // run waits at the gate and hands the call over.
 func (h *Handler) run(ctx context.Context, v *visit) {
 	v.arrived = time.Now()
-	if !v.up.breaker.Admits(v.arrived, v.call.Head.GetIdempotent()) {
+	if !v.up.breaker.Admits(v.arrived, v.call.Head.GetRoute(), v.call.Head.GetIdempotent()) {
 		h.giveBack(v, ReasonFailing, gate.ProbeTime)
 		return
 	}
@@ -278,14 +278,14 @@
 			reason = ReasonUnsealed
 		}
 		if ctx.Err() == nil {
-			v.up.breaker.Ended(time.Now(), true)
+			v.up.breaker.Ended(time.Now(), v.call.Head.GetRoute(), true)
 		}
 		h.refuse(v.call, v.reply, refusal{unknown: true, reason: reason})
 		return gate.Result{Failed: true}
 	}
 	// An answer that says that time ran out tells of a slow upstream, not of a failing one.
 	if response.StatusCode != http.StatusGatewayTimeout {
-		v.up.breaker.Ended(time.Now(), response.StatusCode >= http.StatusInternalServerError)
+		v.up.breaker.Ended(time.Now(), v.call.Head.GetRoute(), response.StatusCode >= http.StatusInternalServerError)
 	}
 	if response.ContentLength >= 0 && response.StatusCode < http.StatusMultipleChoices {
 		h.lengths.learn(v.call.Head.GetRoute(), response.ContentLength)
--- a/pkg/gate/breaker.go
+++ b/pkg/gate/breaker.go
@@ -11,6 +11,11 @@
 	// a row.
 	failingShare = 0.85
 	failingGain  = 0.12
+	// classShare is the mean share of failures below which a class of work is well,
+	// whatever the others do, and classGain the weight of one more end in it: three
+	// failures in a row.
+	classShare = 0.5
+	classGain  = 0.25
 	// ProbeTime is the time between two works that a failing upstream still gets, and
 	// riskyProbeTime the same for work that must not run twice, for an upstream that
 	// gets no other.
@@ -19,22 +24,24 @@
 )
 
 // Breaker keeps work from an upstream that fails nearly all it runs, except for
-// some that shows whether it is well again. The zero Breaker admits all. It is
-// safe for concurrent use.
+// some that shows whether it is well again, and for classes of work that it runs
+// well. The zero Breaker admits all. It is safe for concurrent use.
 type Breaker struct {
 	mutex sync.Mutex
 	// share is the mean share of failures; guarded by mutex.
 	share float64
+	// classes hold the same for each class of work; guarded by mutex.
+	classes map[string]float64
 	// probed is when a failing upstream last got work; guarded by mutex.
 	probed time.Time
 }
 
-// Admits reports whether the upstream may get the work. Repeatable work shows
-// sooner whether it is well, since nothing is lost with it.
-func (b *Breaker) Admits(now time.Time, repeatable bool) bool {
+// Admits reports whether the upstream may get work of the class. Repeatable work
+// shows sooner whether it is well, since nothing is lost with it.
+func (b *Breaker) Admits(now time.Time, class string, repeatable bool) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.share < failingShare {
+	if share, known := b.classes[class]; b.share < failingShare || known && share < classShare {
 		return true
 	}
 	wait := riskyProbeTime
@@ -48,14 +55,20 @@
 	return true
 }
 
-// Ended takes in how work ended that the upstream ran.
-func (b *Breaker) Ended(now time.Time, failed bool) {
+// Ended takes in how work of the class ended that the upstream ran.
+func (b *Breaker) Ended(now time.Time, class string, failed bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	sample := 0.0
 	if failed {
 		sample = 1
 	}
+	if share, known := b.classes[class]; known || len(b.classes) < maxClasses {
+		if b.classes == nil {
+			b.classes = make(map[string]float64)
+		}
+		b.classes[class] = share + classGain*(sample-share)
+	}
 	before := b.share
 	b.share += failingGain * (sample - b.share)
 	if before < failingShare && b.share >= failingShare {
--- a/pkg/gate/breaker_test.go
+++ b/pkg/gate/breaker_test.go
@@ -31,9 +31,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var b Breaker
 			for i := range tt.ends {
-				b.Ended(simStart, tt.every > 0 && i%tt.every == 0)
+				b.Ended(simStart, "c", tt.every > 0 && i%tt.every == 0)
 			}
-			assert.Equal(t, b.Admits(simStart.Add(tt.after), tt.repeatable), tt.want)
+			assert.Equal(t, b.Admits(simStart.Add(tt.after), "c", tt.repeatable), tt.want)
 		})
 	}
 }
@@ -41,13 +41,39 @@
 func TestBreakerAdmitsOneWorkAtATimeUntilOneEndsWell(t *testing.T) {
 	var b Breaker
 	for range 20 {
-		b.Ended(simStart, true)
+		b.Ended(simStart, "c", true)
 	}
 	later := simStart.Add(ProbeTime)
-	assert.Assert(t, b.Admits(later, true))
-	assert.Assert(t, !b.Admits(later.Add(ProbeTime/2), true))
-	assert.Assert(t, b.Admits(later.Add(ProbeTime), true))
-	b.Ended(later, false)
-	assert.Assert(t, b.Admits(later.Add(ProbeTime), true))
-	assert.Assert(t, b.Admits(later.Add(ProbeTime), false))
+	assert.Assert(t, b.Admits(later, "c", true))
+	assert.Assert(t, !b.Admits(later.Add(ProbeTime/2), "c", true))
+	assert.Assert(t, b.Admits(later.Add(ProbeTime), "c", true))
+	b.Ended(later, "c", false)
+	assert.Assert(t, b.Admits(later.Add(ProbeTime), "c", true))
+	assert.Assert(t, b.Admits(later.Add(ProbeTime), "c", false))
+}
+
+func TestClassThatRunsWellIsNotHeldBackByOthers(t *testing.T) {
+	tests := []struct {
+		name  string
+		class string
+		want  bool
+	}{
+		{name: "the class that fails", class: "bad"},
+		{name: "one that ended well", class: "good", want: true},
+		{name: "one that failed a few times", class: "new"},
+		{name: "one that is not known", class: "other"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b Breaker
+			b.Ended(simStart, "good", false)
+			for range 3 {
+				b.Ended(simStart, "new", true)
+			}
+			for range 30 {
+				b.Ended(simStart, "bad", true)
+			}
+			assert.Equal(t, b.Admits(simStart, tt.class, true), tt.want)
+		})
+	}
 }
