Trust an upstream after a restart once it shows that it serves, and take no calls while stopping

Change: a lifetime that began before this process counts once its check is answered, or once it has spoken again half a second later. A stopping proxy refuses calls of others from the moment that it closes its front.

Tests: internal/ctrl TestLateWordAfterARestartHidesNoFarewell, internal/proxy TestStoppingProxyTakesNoMoreCallsOfOthers.

--- a/internal/ctrl/guest.go
+++ b/internal/ctrl/guest.go
@@ -62,6 +62,7 @@
 }
 
 func (g *guest) step(now time.Time) {
+	g.known.Started = g.Self.Get().Started
 	g.recall()
 	for _, s := range g.Words.Events() {
 		g.hear(s, now)
@@ -92,7 +93,7 @@
 }
 
 // check asks the doubted upstream whether it serves, so that it gets work before
-// its next word.
+// its words show that.
 func (g *guest) check(now time.Time) {
 	for _, c := range g.Checked.Events() {
 		g.checking, g.checkAt = false, now.Add(checkAgain)
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -101,7 +101,8 @@
 	down bool
 	// pending runs at the next step.
 	pending []func()
-	// serving names the lifetime that answers checks at each host.
+	// serving names the lifetime that answers checks at a host; the one beside it
+	// does where none is named.
 	serving map[mesh.HostID]string
 }
 
@@ -133,7 +134,11 @@
 	p.cells.ObjectOut.Handle = func(c cells.ObjectCommand) { s.pending = append(s.pending, func() { s.object(p, c, trip) }) }
 	p.cells.CheckOut.Handle = func(c cells.Check) {
 		p.checks++
-		s.pending = append(s.pending, func() { p.cells.Checked.Post(cells.Checked{Instance: s.serving[host]}) })
+		instance, named := s.serving[host]
+		if !named {
+			instance = "i-" + string(host)
+		}
+		s.pending = append(s.pending, func() { p.cells.Checked.Post(cells.Checked{Instance: instance}) })
 	}
 	p.cells.Acked.Handle = func(a cells.Ack) { p.acks = append(p.acks, a) }
 	p.cells.Published.Handle = func(v mesh.Version) {
@@ -474,10 +479,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSim(t, 4)
-			s.serving = map[mesh.HostID]string{"n03": tt.serving}
 			p := s.proxies[3]
 			s.speak(p, 1, member.Ready, 1)
 			s.run(time.Second)
+			s.serving = map[mesh.HostID]string{"n03": tt.serving}
 			if tt.last != member.Ready {
 				s.speak(p, 2, tt.last, 2)
 				s.run(time.Second)
@@ -500,6 +505,47 @@
 	}
 }
 
+// TestLateWordAfterARestartHidesNoFarewell restarts a proxy whose upstream has
+// left while the platform could not be told, and lets an older word arrive.
+func TestLateWordAfterARestartHidesNoFarewell(t *testing.T) {
+	tests := []struct {
+		name string
+		// again is how long after the late word another one comes, zero for none.
+		again time.Duration
+		want  member.State
+	}{
+		{name: "one late word", want: member.Lost},
+		{name: "two late words together", again: secondWordNear, want: member.Lost},
+		{name: "words that go on", again: time.Second, want: member.Ready},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 4)
+			p := s.proxies[3]
+			s.speak(p, 1, member.Ready, 1)
+			s.run(time.Second)
+			s.down, s.serving = true, map[mesh.HostID]string{"n03": ""}
+			s.speak(p, 2, member.Draining, 8)
+			s.run(time.Second)
+			assert.Equal(t, p.acks[1], cells.Ack{Ack: 2, Verdict: fleet.Changed})
+			s.kill(p)
+			s.down = false
+			next := s.start(p.host, false)
+			s.run(time.Second)
+			s.speak(next, 3, member.Ready, 6)
+			s.run(tt.again)
+			if tt.again > 0 {
+				s.speak(next, 4, member.Ready, 7)
+			}
+			s.run(100 * time.Millisecond)
+			assert.Equal(t, next.cells.Traffic.Load().Own.State, tt.want)
+		})
+	}
+}
+
+// secondWordNear is too short a time between two words to show that they go on.
+const secondWordNear = 100 * time.Millisecond
+
 func TestDrainingProxyKeepsItsUpstreamInUseUntilItWithdraws(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -87,6 +88,7 @@
 	p := &member{instance: fmt.Sprintf("i-%d", number)}
 	p.backend = httptest.NewServer(p)
 	t.Cleanup(p.backend.Close)
+	p.check.Store(http.StatusOK)
 	m.launch(t, p, number)
 	t.Cleanup(func() { p.stop(t) })
 	m.proxies = append(m.proxies, p)
@@ -260,6 +262,7 @@
 			p := m.proxies[0]
 			p.check.Store(int32(tt.answer))
 			p.stop(t)
+			p.checks.Store(0)
 			m.launch(t, p, 0)
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
 				status := p.proxy.Status()
@@ -319,6 +322,43 @@
 	<-left
 }
 
+// TestStoppingProxyTakesNoMoreCallsOfOthers holds a caller's request while the
+// proxy stops, and sends one through another proxy meanwhile.
+func TestStoppingProxyTakesNoMoreCallsOfOthers(t *testing.T) {
+	m := newMesh(t, "orders", "prints")
+	stopped, other := m.proxies[0], m.proxies[1]
+	hold := make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
+	stopped.hold.Store(&hold)
+	held := make(chan int, 1)
+	go func() {
+		status, _ := stopped.ask(t, "held", "/o/x")
+		held <- status
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if stopped.runs() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the request has not begun")
+	}, patience)
+	ended := make(chan error, 1)
+	go func() { ended <- stopped.proxy.Stop(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if conn, err := net.Dial("tcp", stopped.proxy.Addresses().Callers.String()); err == nil {
+			return poll.Continue("still takes callers: %v", conn.Close())
+		}
+		return poll.Success()
+	}, patience)
+	status, _ := other.ask(t, "late", "/o/x")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, stopped.runs(), 1)
+	release()
+	assert.Equal(t, <-held, http.StatusOK)
+	assert.NilError(t, <-ended)
+	m.launch(t, stopped, 0)
+}
+
 func TestWordsThatNameNobodyChangeNothing(t *testing.T) {
 	m := newMesh(t, "orders")
 	p := m.proxies[0]
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -70,10 +70,14 @@
 			err = fmt.Errorf("stop proxy %s: %w", p.settings.Load().Host, err)
 		}
 	}()
+	// Calls of other proxies that came later than this could not be finished in time.
+	shut := make(chan error, 1)
+	go func() { shut <- p.peers.Shutdown(ctx) }()
 	p.finish(ctx)
 	if p.entry != nil {
-		err = errors.Join(err, p.entry.Close(), p.peers.Shutdown(ctx))
+		err = errors.Join(err, p.entry.Close())
 	}
+	err = errors.Join(err, <-shut)
 	for _, s := range []*httpd.Server{p.admin, p.asked} {
 		if s != nil {
 			err = errors.Join(err, s.Stop(ctx))
--- a/pkg/fleet/guest.go
+++ b/pkg/fleet/guest.go
@@ -33,19 +33,30 @@
 	return verdictNames[v]
 }
 
+// secondWord is how long after the first word of an upstream that was there
+// before this process another one lets it count; late words come together.
+const secondWord = 500 * time.Millisecond
+
 // Guest keeps what is known of the upstream beside a node, in the order of its
 // own lifetimes and words, whenever they arrive. The zero Guest knows none.
 type Guest struct {
+	// Started is when this process began. A lifetime that began before may have said
+	// to an earlier process that it leaves. The zero Started is before all of them.
+	Started time.Time
 	// known is the last word that stood; its State never goes back within a lifetime.
 	known Upstream
 	// renewed is when a word last stood.
 	renewed time.Time
 	// silent is true after the lifetime's words stopped for too long.
 	silent bool
-	// doubted is true while the upstream counts as lost only since this process has
-	// not heard it; before is its state as it was recorded.
+	// doubted is true while the upstream counts as lost only since nothing shows that
+	// it still serves; before is its state as it was recorded or said.
 	doubted bool
 	before  member.State
+	// trusted is true once the lifetime was shown to serve, and spoke is when its
+	// first word to this process came.
+	trusted bool
+	spoke   time.Time
 }
 
 // Known returns what is known of the upstream.
@@ -60,8 +71,8 @@
 	if recorded.Instance == "" || later(g.known, recorded) {
 		return
 	}
-	before, serves := recorded.State, recorded.State == member.Ready || recorded.State == member.Warming
-	if serves {
+	before, served := recorded.State, serves(recorded.State)
+	if served {
 		recorded.State = member.Lost
 	}
 	if recorded.Instance == g.known.Instance && recorded.Born.Equal(g.known.Born) && g.known.State == member.Lost {
@@ -69,11 +80,16 @@
 	}
 	g.known = recorded
 	g.silent = true
-	g.doubted, g.before = serves, before
+	g.doubted, g.before = served, before
+}
+
+// serves reports whether an upstream in the state takes new work.
+func serves(state member.State) bool {
+	return state == member.Ready || state == member.Warming
 }
 
-// Doubted returns the upstream that served by the record and was not heard
-// since; ok is false when there is none.
+// Doubted returns the upstream that serves by its record or a word that may be
+// late; ok is false when there is none.
 func (g *Guest) Doubted() (upstream Upstream, ok bool) {
 	return g.known, g.doubted
 }
@@ -85,7 +101,7 @@
 		return false
 	}
 	g.known.State = g.before
-	g.renewed, g.silent, g.doubted = now, false, false
+	g.renewed, g.silent, g.doubted, g.trusted = now, false, false, true
 	return true
 }
 
@@ -118,7 +134,7 @@
 		next.State = member.Draining
 	}
 	g.renewed, g.silent = now, false
-	return g.replace(next)
+	return g.replace(g.weigh(now, next))
 }
 
 // hearOther takes in a word of another lifetime.
@@ -130,13 +146,31 @@
 		return Stale
 	}
 	g.renewed, g.silent = now, false
-	return g.replace(word.Upstream)
+	g.trusted, g.spoke = false, time.Time{}
+	return g.replace(g.weigh(now, word.Upstream))
+}
+
+// weigh returns what a word counts for. A late word of a lifetime that was there
+// before this process could hide that it leaves: such a lifetime counts once it
+// was found, or has spoken again a while later.
+func (g *Guest) weigh(now time.Time, next Upstream) Upstream {
+	again := !g.spoke.IsZero() && now.Sub(g.spoke) >= secondWord
+	if g.spoke.IsZero() {
+		g.spoke = now
+	}
+	g.doubted = serves(next.State) && !g.trusted && !again && !g.Started.IsZero() && !next.Born.After(g.Started)
+	if !g.doubted {
+		g.trusted = g.trusted || serves(next.State)
+		return next
+	}
+	g.before, next.State = next.State, member.Lost
+	return next
 }
 
 // replace puts the next record in force and tells whether it says something new.
 func (g *Guest) replace(next Upstream) Verdict {
 	old := g.known
-	g.known, g.doubted = next, false
+	g.known = next
 	old.Sequence, old.Cold = next.Sequence, next.Cold
 	if old.Born.Equal(next.Born) {
 		old.Born = next.Born
