Wait until the settings are in force before a flood bed takes calls

A bed waited until the upstreams were known, and the change was only accepted, so a call could come before the entry node had the settings in force; the refusal was true. Ruled out: the change of the same hour, which does not touch how a node takes in settings.

Change: the bed waits until every node tells the accepted version as in force. No assertion, bound or case changed.

--- a/internal/flood/bed_test.go
+++ b/internal/flood/bed_test.go
@@ -184,7 +184,8 @@
 	return link
 }
 
-// configure accepts the settings.
+// configure accepts the settings and waits until they are in force at every node:
+// acceptance alone does not say that, and calls before then are refused.
 func (b *bed) configure() {
 	b.Helper()
 	text := b.shape.settings
@@ -195,8 +196,14 @@
 	assert.NilError(b, err)
 	ctx, cancel := context.WithTimeout(b.Context(), startTime)
 	defer cancel()
-	_, err = b.sites[0].node.Submit(ctx, tree.Change{ID: "first", Author: "test", Edits: document.Edits})
+	version, err := b.sites[0].node.Submit(ctx, tree.Change{ID: "first", Author: "test", Edits: document.Edits})
 	assert.NilError(b, err)
+	b.until(func(s *site) error {
+		if held := s.node.Status().Version; held < version {
+			return fmt.Errorf("version %d is in force, want %d", held, version)
+		}
+		return nil
+	})
 }
 
 // ready waits until every running node knows every running upstream; it may know
