Let one piece wait for a time, and ask for a request's waits once

Whether an upstream's state takes new work stood in fleet.Node, fleet.Guest and ctrl/view: member.State.Takes. A request's waits were worked out by two functions that called each other, so that one call took the picker's lock four times on the hot path: steer.waits is asked with the typical time, once. pick.BeginBy shares what Begin does; egress.Link.Wait leaves the missing bound to pkg/link, which knows it; the feed forgets a dial in one place; sight.share reads the set that it wants.

Left, since they change what is told or counted: entry.Dispatcher's own check of the deadline beside that of peer.Call, which also covers the end of a body; the breaker beside the gate, which learns other results from the same end of a call; retry.Window.Calls, which adds up all services for each answer.

--- a/internal/ctrl/feed.go
+++ b/internal/ctrl/feed.go
@@ -114,15 +114,12 @@
 }
 
 func (f *feed) event(e cells.LinkEvent, now time.Time) {
+	if e.Dialed && e.Kind != cells.LinkMessage {
+		delete(f.dialing, e.Node)
+	}
 	switch e.Kind {
 	case cells.LinkUp:
-		if e.Dialed {
-			delete(f.dialing, e.Node)
-		}
 	case cells.LinkDown:
-		if e.Dialed {
-			delete(f.dialing, e.Node)
-		}
 		delete(f.fresh, e.Link)
 		delete(f.wanted, e.Link)
 		if e.Dialed {
--- a/internal/ctrl/sight.go
+++ b/internal/ctrl/sight.go
@@ -45,14 +45,11 @@
 
 // share returns the part of the nodes that stand beside an upstream of the service.
 func (s *sight) share(service mesh.Service) float64 {
-	own, all := 0, 0
-	for name, set := range s.sets {
+	all := 0
+	for _, set := range s.sets {
 		all += len(set.Candidates())
-		if name == service {
-			own = len(set.Candidates())
-		}
 	}
-	return float64(own) / float64(max(all, 1))
+	return float64(len(s.sets[service].Candidates())) / float64(max(all, 1))
 }
 
 // rebuild renews the sets when a record changed.
--- a/internal/ctrl/view.go
+++ b/internal/ctrl/view.go
@@ -118,7 +118,7 @@
 func (v *view) candidates(records []member.Record) []pick.Candidate {
 	candidates := make([]pick.Candidate, 0, len(records))
 	for _, r := range records {
-		if r.State != member.Ready && r.State != member.Warming {
+		if !r.State.Takes() {
 			continue
 		}
 		candidates = append(candidates, pick.Candidate{
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/objapi"
+	"arbutusstep.example/arbutusstep/internal/pause"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/tree"
@@ -136,14 +137,7 @@
 
 // calm lets calls go on for a while.
 func calm(ctx context.Context) error {
-	timer := time.NewTimer(calmTime)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return pause.For(ctx, calmTime)
 }
 
 // count ends the calls and counts what ran more than once.
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/pause"
 	"arbutusstep.example/arbutusstep/internal/repo"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/store"
@@ -165,12 +166,8 @@
 			return
 		}
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	// The context's end shows at the head of the caller's loop.
+	_ = pause.For(ctx, wait)
 }
 
 // list tells every object of a kind.
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/pause"
 	"arbutusstep.example/arbutusstep/pkg/link"
 )
 
@@ -78,9 +79,6 @@
 func (l *Link) Wait() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.link.Bounded() {
-		return 0
-	}
 	return l.link.Wait()
 }
 
@@ -138,45 +136,36 @@
 }
 
 // await waits until the next step of the turn may be sent.
-func (l *Link) await(ctx context.Context, t *link.Turn) error {
+func (l *Link) await(ctx context.Context, t *link.Turn) (err error) {
 	for {
-		l.mutex.Lock()
-		var due time.Duration
-		first := l.link.First(t)
-		if first {
-			due = l.link.Due(time.Now())
-		}
-		if first && due <= 0 {
-			l.mutex.Unlock()
+		first, due, changed := l.look(t)
+		switch {
+		case first && due <= 0:
 			return nil
-		}
-		if l.changed == nil {
-			l.changed = make(chan struct{})
-		}
-		changed := l.changed
-		l.mutex.Unlock()
-		if err := l.pause(ctx, changed, due); err != nil {
-			return err
+		case first:
+			if err = pause.For(ctx, due); err != nil {
+				return err
+			}
+		default:
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
 		}
 	}
 }
 
-// pause waits for the time, or without one until another turn is the next.
-func (l *Link) pause(ctx context.Context, changed <-chan struct{}, due time.Duration) error {
-	if due <= 0 {
-		select {
-		case <-changed:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// look returns whether the turn is the next one and how long its step has to
+// wait then, or else what is closed when another turn has become the next.
+func (l *Link) look(t *link.Turn) (first bool, due time.Duration, changed <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.link.First(t) {
+		return true, l.link.Due(time.Now()), nil
 	}
-	timer := time.NewTimer(due)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	if l.changed == nil {
+		l.changed = make(chan struct{})
 	}
+	return false, 0, l.changed
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/pause"
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/internal/wire"
@@ -200,7 +201,7 @@
 			return answer, nil
 		}
 		decision := d.decide(j, failed, policy)
-		if !decision.Retry || !wait(ctx, decision.After) {
+		if !decision.Retry || pause.For(ctx, decision.After) != nil {
 			return nil, j.failure(candidate.Host, failed)
 		}
 	}
@@ -345,18 +346,3 @@
 func policyOf(settings *tree.Settings) retry.Policy {
 	return retry.Policy{Attempts: settings.Attempts, Percent: settings.RetryPercent}
 }
-
-// wait sleeps for the delay and returns false when the context ends first.
-func wait(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fakeup/node.go
+++ b/internal/fakeup/node.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/pause"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
@@ -50,12 +51,8 @@
 			if err != nil {
 				wait = announceRetry
 			}
-			timer := time.NewTimer(wait)
-			select {
-			case <-ctx.Done():
-				timer.Stop()
+			if pause.For(ctx, wait) != nil {
 				return
-			case <-timer.C:
 			}
 		}
 	})
--- a/internal/faulty/pair.go
+++ b/internal/faulty/pair.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"arbutusstep.example/arbutusstep/internal/pause"
 )
 
 const (
@@ -141,11 +143,7 @@
 // hold waits until the chunk may come out. It returns false when the context
 // ended first.
 func (p *pair) hold(ctx context.Context, direction Direction, c chunk) bool {
-	timer := time.NewTimer(time.Until(c.due))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if pause.For(ctx, time.Until(c.due)) != nil {
 		return false
 	}
 	return p.waitSound(ctx, direction)
--- a/internal/objapi/routes.go
+++ b/internal/objapi/routes.go
@@ -9,6 +9,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"arbutusstep.example/arbutusstep/internal/pause"
 )
 
 // object is the JSON form of an Object.
@@ -76,7 +78,7 @@
 // dropped; a refused call has its status set.
 func (s *Server) admit(ctx context.Context, k kind, rc *app.RequestContext) bool {
 	faults, _, _ := s.faults.get()
-	if !pause(ctx, faults.Latency) {
+	if pause.For(ctx, faults.Latency) != nil {
 		drop(rc)
 		return false
 	}
@@ -107,21 +109,6 @@
 	return true
 }
 
-// pause waits for that time and returns false when the context ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait == 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // drop closes the connection in place of an answer.
 func drop(rc *app.RequestContext) {
 	rc.Response.HijackWriter(silence{})
--- a/internal/sizing/children.go
+++ b/internal/sizing/children.go
@@ -12,6 +12,7 @@
 	"arbutusstep.example/arbutusstep/internal/fakeup"
 	"arbutusstep.example/arbutusstep/internal/forms"
 	"arbutusstep.example/arbutusstep/internal/node"
+	"arbutusstep.example/arbutusstep/internal/pause"
 )
 
 // child is a node that runs in this process.
@@ -74,14 +75,14 @@
 	if err != nil {
 		return cost, err
 	}
-	if err = pause(ctx, settleTime); err != nil {
+	if err = pause.For(ctx, settleTime); err != nil {
 		return cost, err
 	}
 	from, err := v.read(ctx)
 	if err != nil {
 		return cost, err
 	}
-	if err = pause(ctx, v.Report.options.Idle); err != nil {
+	if err = pause.For(ctx, v.Report.options.Idle); err != nil {
 		return cost, err
 	}
 	to, err := v.read(ctx)
@@ -126,7 +127,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if err = pause(ctx, changeGap); err != nil {
+		if err = pause.For(ctx, changeGap); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/sizing/fleet.go
+++ b/internal/sizing/fleet.go
@@ -298,15 +298,3 @@
 	f.server.stop(ctx)
 	f.api.close()
 }
-
-// pause lets the time pass.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/sizing/fleetpart.go
+++ b/internal/sizing/fleetpart.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/pause"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/tree"
 )
@@ -63,7 +64,7 @@
 	}
 	v.add(v.name, "start: most reads in a second", float64(stats.Reads.Peak), "calls")
 	v.add(v.name, "start: most writes in a second", float64(stats.Writes.Peak), "calls")
-	return pause(ctx, settleTime)
+	return pause.For(ctx, settleTime)
 }
 
 func (v *run) measureIdle(ctx context.Context) (err error) {
@@ -74,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if err = pause(ctx, v.Report.options.Idle); err != nil {
+	if err = pause.For(ctx, v.Report.options.Idle); err != nil {
 		return err
 	}
 	to, err := v.read(ctx)
@@ -164,7 +165,7 @@
 		}
 		each = append(each, taken...)
 		last = append(last, quantile(taken, 1))
-		if err = pause(ctx, changeGap); err != nil {
+		if err = pause.For(ctx, changeGap); err != nil {
 			return err
 		}
 	}
@@ -179,7 +180,7 @@
 // each of count events.
 func (v *run) addExtra(ctx context.Context, from reading, event string, count float64) (err error) {
 	// The counters are reported once a second.
-	if err = pause(ctx, 2*time.Second); err != nil {
+	if err = pause.For(ctx, 2*time.Second); err != nil {
 		return err
 	}
 	to, err := v.read(ctx)
@@ -225,7 +226,7 @@
 			refused++
 		}
 		taken = append(taken, time.Since(start))
-		if err = pause(ctx, changeGap); err != nil {
+		if err = pause.For(ctx, changeGap); err != nil {
 			return err
 		}
 	}
@@ -258,7 +259,7 @@
 			return err
 		}
 		all = append(all, taken...)
-		if err = pause(ctx, changeGap); err != nil {
+		if err = pause.For(ctx, changeGap); err != nil {
 			return err
 		}
 	}
--- a/internal/sizing/herd.go
+++ b/internal/sizing/herd.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"arbutusstep.example/arbutusstep/internal/pause"
 )
 
 // herdGap is the time after a herd in which its calls are still counted.
@@ -35,7 +37,7 @@
 		if err = v.measureHerd(ctx, h.name, sites); err != nil {
 			return err
 		}
-		if err = pause(ctx, settleTime); err != nil {
+		if err = pause.For(ctx, settleTime); err != nil {
 			return err
 		}
 	}
@@ -52,7 +54,7 @@
 	group.Go(func() error { return v.watchPlatform(watched, &reads, &wrote) })
 	taken, err := v.restart(ctx, sites)
 	if err == nil {
-		err = pause(ctx, herdGap)
+		err = pause.For(ctx, herdGap)
 	}
 	cancel()
 	if watchErr := group.Wait(); err == nil {
--- a/internal/steer/decide.go
+++ b/internal/steer/decide.go
@@ -116,10 +116,14 @@
 	if failed.Outcome == peer.Unknown && !j.rule.Kind.Repeatable() {
 		return false
 	}
-	if !reached {
-		return !serve.Busy(failed.Reason) || time.Since(j.request.Arrived) < s.patience(j)*busyShare/100
+	switch {
+	case reached:
+		return s.mayRepeat(j)
+	case !serve.Busy(failed.Reason):
+		return true
 	}
-	return s.mayRepeat(j)
+	_, patience := s.waits(j, s.Picker.ExpectedOf(j.rule.Name))
+	return time.Since(j.request.Arrived) < patience*busyShare/100
 }
 
 // target returns the time within which an answer is of full use.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -208,33 +208,24 @@
 	return s.Picker.StandsOut(j.traffic.Sets[j.service], host) && s.mayRepeat(j)
 }
 
-// startWithin returns how long a request may wait for its slot from now on: a
-// request that starts later would be of little use and keep others from theirs.
-// One that can't meet its target any more may wait for long, and yields to those
-// that can.
-func (s *Steerer) startWithin(j *job) time.Duration {
+// waits returns how long a request may wait for its slot from now on, by the
+// time that upstreams usually work on it, zero when that is not known. One that
+// starts after within would be of little use and keep others from theirs; one
+// that can't meet its target any more may wait for long, and yields to those that
+// can. Patience is the same for a call that an upstream makes while it runs
+// another request, which would be lost if the call were refused.
+func (s *Steerer) waits(j *job, typical time.Duration) (within, patience time.Duration) {
+	if typical == 0 {
+		typical = s.target(j) / unknownShare
+	}
 	latest := j.end.Allowed * waitShare / 100
-	typical := s.typical(j)
 	// A long answer that is late would keep others from their host's link.
 	if target := s.target(j) - j.passed; target > typical || j.rule.Kind == plan.Download {
 		latest = min(latest, max(target-slowFactor*typical/10, j.end.Allowed*leastWaitShare/100))
 	}
-	return max(latest-time.Since(j.request.Arrived), time.Microsecond)
-}
-
-// typical returns how long upstreams usually work on a request.
-func (s *Steerer) typical(j *job) time.Duration {
-	if typical := s.Picker.ExpectedOf(j.rule.Name); typical > 0 {
-		return typical
-	}
-	return s.target(j) / unknownShare
-}
-
-// patience is startWithin for a call that an upstream makes while it runs
-// another request, which would be lost if the call were refused.
-func (s *Steerer) patience(j *job) time.Duration {
-	latest := j.end.Allowed - patientFactor*s.typical(j)
-	return max(latest-time.Since(j.request.Arrived), s.startWithin(j))
+	used := time.Since(j.request.Arrived)
+	within = max(latest-used, time.Microsecond)
+	return within, max(j.end.Allowed-patientFactor*typical-used, within)
 }
 
 // placesOf tells what distance costs a request of the rule. Long answers are
@@ -299,12 +290,14 @@
 }
 
 func (s *Steerer) call(ctx context.Context, j *job, candidate pick.Candidate) (reply *peer.Reply, err error) {
+	typical := s.Picker.ExpectedOf(j.rule.Name)
+	within, patience := s.waits(j, typical)
 	head := &wire.CallHead{
 		Service: string(j.service), Method: j.request.Method, Path: j.request.Target, Headers: s.headers(j),
 		Priority: uint32(priorityOf(j.rule.Rank)), Idempotent: j.rule.Kind.Repeatable(), BodyLength: int64(len(j.request.Body)),
-		CallerRegion: string(s.Place.Region), Route: j.rule.Name, Id: j.end.ID, StartWithinMicros: s.startWithin(j).Microseconds(),
-		PatientMicros: s.patience(j).Microseconds(), CallerService: string(s.Service()),
-		TypicalMicros: s.Picker.ExpectedOf(j.rule.Name).Microseconds(),
+		CallerRegion: string(s.Place.Region), Route: j.rule.Name, Id: j.end.ID, StartWithinMicros: within.Microseconds(),
+		PatientMicros: patience.Microseconds(), CallerService: string(s.Service()),
+		TypicalMicros: typical.Microseconds(),
 		Attempt:       string(s.Host) + "-" + strconv.FormatUint(s.calls.Add(1), 36),
 	}
 	call := &peer.Call{Head: head, Fresh: len(j.tried) > 1, Body: bodyOf(j.request.Body)}
--- a/internal/store/backoff.go
+++ b/internal/store/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"arbutusstep.example/arbutusstep/internal/pause"
 )
 
 // Defaults of Backoff.
@@ -57,12 +59,5 @@
 
 // Wait waits for the next time, or returns the context's error when it ends first.
 func (b *Backoff) Wait(ctx context.Context) (err error) {
-	timer := time.NewTimer(b.Next())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, b.Next())
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -53,10 +53,7 @@
 
 // Takes reports whether callers' nodes may send new work to the node.
 func (n *Node) Takes() bool {
-	if n.Leaving || n.Upstream.Instance == "" {
-		return false
-	}
-	return n.Upstream.State == member.Ready || n.Upstream.State == member.Warming
+	return !n.Leaving && n.Upstream.Instance != "" && n.Upstream.State.Takes()
 }
 
 // nearMargin is by how much the trips to the platform of two nodes in its
--- a/pkg/fleet/guest.go
+++ b/pkg/fleet/guest.go
@@ -71,7 +71,7 @@
 	if recorded.Instance == "" || later(g.known, recorded) {
 		return
 	}
-	before, served := recorded.State, serves(recorded.State)
+	before, served := recorded.State, recorded.State.Takes()
 	if served {
 		recorded.State = member.Lost
 	}
@@ -83,11 +83,6 @@
 	g.doubted, g.before = served, before
 }
 
-// serves reports whether an upstream in the state takes new work.
-func serves(state member.State) bool {
-	return state == member.Ready || state == member.Warming
-}
-
 // Doubted returns the upstream that serves by its record or a word that may be
 // late; ok is false when there is none.
 func (g *Guest) Doubted() (upstream Upstream, ok bool) {
@@ -158,9 +153,9 @@
 	if g.spoke.IsZero() {
 		g.spoke = now
 	}
-	g.doubted = serves(next.State) && !g.trusted && !again && !g.Started.IsZero() && !next.Born.After(g.Started)
+	g.doubted = next.State.Takes() && !g.trusted && !again && !g.Started.IsZero() && !next.Born.After(g.Started)
 	if !g.doubted {
-		g.trusted = g.trusted || serves(next.State)
+		g.trusted = g.trusted || next.State.Takes()
 		return next
 	}
 	g.before, next.State = next.State, member.Lost
--- a/pkg/member/record.go
+++ b/pkg/member/record.go
@@ -58,6 +58,11 @@
 	return s <= Draining
 }
 
+// Takes reports whether the upstream takes new work: warming or ready.
+func (s State) Takes() bool {
+	return s <= Ready
+}
+
 // Record is what is known of one host and its one upstream.
 type Record struct {
 	// Host is unique in the mesh; a table holds one record a host.
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -142,19 +142,24 @@
 func (p *Picker) Begin(now time.Time, host mesh.HostID) Flight {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	return p.begin(now, host)
+}
+
+// begin is Begin with the mutex held.
+func (p *Picker) begin(now time.Time, host mesh.HostID) Flight {
 	h := p.host(host)
 	h.inFlight++
 	return Flight{picker: p, id: host, host: h, began: now}
 }
 
 // BeginBy is like Begin for a request whose answer is expected in that time.
-func (p *Picker) BeginBy(now time.Time, host mesh.HostID, expected time.Duration, long bool) Flight {
+func (p *Picker) BeginBy(now time.Time, host mesh.HostID, expected time.Duration, long bool) (f Flight) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	h := p.host(host)
-	h.inFlight++
-	h.late[kind(long)].begin(now, expected)
-	return Flight{picker: p, id: host, host: h, began: now, long: long}
+	f = p.begin(now, host)
+	f.long = long
+	f.host.late[kind(long)].begin(now, expected)
+	return f
 }
 
 // End takes in how the flight ended.
