Keep running upstreams in view during a planned stop

Cause: two ways in which a keyed call of a memory store ends in doubt although nothing ran, found while tracing the red test TestPromisesHoldWhileThingsFail (planned stop of a node, one call in doubt at a-1 after 3 ms). First, watchOrphans watches a host whose relay is not in the directory yet; the directory lists a new relay up to 5 s later than records name it, the host's heartbeats go to that relay, and after the missed heartbeats this node marks a running host lost, so that shards of keys change owner for a moment.

Change: orphans are released once their relay is listed; CandidateCount counts what the claim registry follows.

--- a/internal/ctrl/fakes_test.go
+++ b/internal/ctrl/fakes_test.go
@@ -72,6 +72,9 @@
 	closed bool
 	// silent is true while messages sent by this end are lost.
 	silent bool
+	// lastArrival is when the last message sent by this end arrives; messages of one
+	// link arrive in order.
+	lastArrival time.Time
 }
 
 // fleet connects hosts by fake links and a fake platform, in virtual time.
@@ -85,6 +88,8 @@
 	store        fakeStore
 	partitioned  func(from, to mesh.Place) bool
 	changeCount  int
+	// extraDelay returns the delay of the next message beyond latency; nil for none.
+	extraDelay func() time.Duration
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -208,7 +213,7 @@
 		encoded := wire.EncodeControl(c.Message)
 		message, err := wire.DecodeControl(encoded)
 		assert.NilError(f.t, err)
-		f.schedule(latency, func() {
+		f.schedule(f.delay(end), func() {
 			if !end.far.closed && !end.far.host.down && !f.isPartitioned(end) {
 				f.post(end.far.host, cells.LinkEvent{Link: end.far.id, Kind: cells.LinkMessage, Message: message})
 			}
@@ -220,6 +225,19 @@
 	}
 }
 
+// delay returns how long the next message sent by the end is under way.
+func (f *fleet) delay(end *linkEnd) time.Duration {
+	at := f.now.Add(latency)
+	if f.extraDelay != nil {
+		at = at.Add(f.extraDelay())
+	}
+	if at.Before(end.lastArrival) {
+		at = end.lastArrival
+	}
+	end.lastArrival = at
+	return at.Sub(f.now)
+}
+
 func (f *fleet) isPartitioned(end *linkEnd) bool {
 	return f.partitioned != nil && f.partitioned(end.host.Self.Load().Place, end.far.host.Self.Load().Place)
 }
--- a/internal/ctrl/records.go
+++ b/internal/ctrl/records.go
@@ -34,6 +34,9 @@
 	// watched holds the hosts that this node watches: its children, which send it
 	// heartbeats, and hosts that no other relay watches.
 	watched map[mesh.HostID]bool
+	// orphans holds the watched hosts that are watched only because their relay was not
+	// in the directory.
+	orphans map[mesh.HostID]bool
 	// lastRecords holds, for each link, the record in the last heartbeat that had one.
 	lastRecords map[cells.LinkID]member.Record
 	// relayLinks holds the Hello of the relay at the far end of each link to a relay
@@ -49,6 +52,7 @@
 	r := &records{
 		Node:        node,
 		watched:     make(map[mesh.HostID]bool),
+		orphans:     make(map[mesh.HostID]bool),
 		lastRecords: make(map[cells.LinkID]member.Record),
 		relayLinks:  make(map[cells.LinkID]ctlmsg.Hello),
 	}
@@ -106,6 +110,7 @@
 		return
 	}
 	r.watched[record.Host] = true
+	delete(r.orphans, record.Host)
 	r.detector.RecordHeartbeat(record.Host, now)
 }
 
@@ -203,6 +208,7 @@
 	}
 	r.lastCheckAt = now
 	r.alarm.SetIfEarlier(now.Add(r.detector.Interval))
+	r.releaseOrphans()
 	verdict := r.detector.Check(now)
 	r.markLost(verdict.Removed)
 	if verdict.Mode == member.ModeOverdue {
@@ -236,10 +242,9 @@
 	if !r.RelaySlot.Get().Held {
 		return
 	}
-	relays := make(map[mesh.HostID]bool)
+	relays := r.listedRelays()
 	zones := make(map[mesh.Place]bool)
 	for _, v := range r.Directory.Get().Relays {
-		relays[v.Host] = true
 		zones[v.Place] = true
 	}
 	self, lead := r.Self.Get(), r.Uplinks.Get().Lead
@@ -248,12 +253,36 @@
 			(lead && record.Place.Region == self.Place.Region && !zones[record.Place])
 		orphan := record.State.Live() && !relays[record.Relay] && record.Host != self.Host
 		if responsible && orphan && !r.watched[record.Host] {
-			r.watched[record.Host] = true
+			r.watched[record.Host], r.orphans[record.Host] = true, true
 			r.detector.RecordHeartbeat(record.Host, now)
 		}
 	}
 }
 
+// releaseOrphans ends the watch of orphans whose relay has appeared in the directory.
+// The directory may list a new relay later than the records of its hosts arrive, and
+// those hosts send their heartbeats to that relay.
+func (r *records) releaseOrphans() {
+	relays := r.listedRelays()
+	for host := range r.orphans {
+		record, _ := r.Records.Read().Get(host)
+		if !r.watched[host] || relays[record.Relay] {
+			delete(r.orphans, host)
+			delete(r.watched, host)
+			r.detector.Forget(host)
+		}
+	}
+}
+
+// listedRelays returns the hosts that are relays according to the directory.
+func (r *records) listedRelays() map[mesh.HostID]bool {
+	relays := make(map[mesh.HostID]bool)
+	for _, v := range r.Directory.Get().Relays {
+		relays[v.Host] = true
+	}
+	return relays
+}
+
 // completeAsLead declares a lead's table complete once its relays have had time to
 // send their records.
 func (r *records) completeAsLead(now time.Time) {
--- a/internal/node/apply.go
+++ b/internal/node/apply.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
@@ -25,6 +26,8 @@
 	gate       gate.Config
 	version    mesh.Version
 	candidates *pick.CandidateSet
+	// snapshot is the last snapshot that the gate and the claim registry follow.
+	snapshot atomic.Pointer[cells.Snapshot]
 	// address and connections are those of the local upstream; guarded by mutex.
 	address     netip.AddrPort
 	connections int
@@ -41,6 +44,7 @@
 		n.applied.version = traffic.Version
 		n.burn.SetObjectives(serviceObjectives(traffic))
 	}
+	n.applied.snapshot.Store(&traffic)
 	n.snapshotChanged.notify()
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -107,9 +107,13 @@
 }
 
 // CandidateCount returns the number of upstreams of the service that accept new
-// calls.
+// calls. It counts them once this node also distributes idempotency keys among them.
 func (n *Node) CandidateCount(id mesh.ServiceID) int {
-	return len(n.cells.Snapshot.Load().CandidateSets[id].Candidates())
+	applied := n.applied.snapshot.Load()
+	if applied == nil {
+		return 0
+	}
+	return len(applied.CandidateSets[id].Candidates())
 }
 
 // ControlBytesSent returns the bytes of control traffic that this node has sent.
