Let one odd object of the platform cost itself alone

Cause: a list or a batch of events was decoded as a whole, so that one object nested over 10,000 levels, with a revision of 1e400 or with a number as its name failed all of them; a watch then asked from the same revision for ever, and a start never got its list. A proxy whose own record another writer replaced tried to create it at the speed of the store's answers and never succeeded. Records were used with port 0, slots, rates, cold times and round-trip times beyond any machine.

Such a record counts as gone, since a node without a readable record can't be reached; it is logged once for each revision with at most 200 bytes of its text, names that no host can have are not kept, and its owner writes it again under its revision. Repeated conflicts wait.

--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -57,6 +57,9 @@
 	Value   []byte
 	Version uint64
 	Deleted bool
+	// Malformed is why the object could not be decoded; nil if it was. Value is then
+	// empty, and so is Name if even that could not be decoded.
+	Malformed error
 }
 
 // ObjectEvent is a response of the platform.
--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -201,6 +201,9 @@
 	addressOwners map[netip.AddrPort]mesh.HostID
 	// removedVersions contains the versions at which records were removed.
 	removedVersions map[mesh.HostID]uint64
+	// unreadableVersions contains the versions of the objects that exist but contain
+	// no record. These hosts have no entry.
+	unreadableVersions map[mesh.HostID]uint64
 	// changes lists the hosts whose records changed, oldest first. It contains at
 	// most maxRosterChanges entries.
 	changes []mesh.HostID
@@ -226,6 +229,7 @@
 		r.entries = make(map[mesh.HostID]RosterEntry)
 	}
 	r.entries[host] = entry
+	delete(r.unreadableVersions, host)
 	r.claimAddress(entry)
 	if known && old.Node.Address != entry.Node.Address {
 		r.releaseAddress(old.Node.Address)
@@ -272,6 +276,9 @@
 		r.removedVersions = make(map[mesh.HostID]uint64)
 	}
 	r.removedVersions[host] = max(r.removedVersions[host], version)
+	if r.unreadableVersions[host] <= version {
+		delete(r.unreadableVersions, host)
+	}
 	if !ok {
 		return false
 	}
@@ -281,6 +288,27 @@
 	return true
 }
 
+// MarkUnreadable removes a record whose object was replaced, at the version, by one that
+// contains no record. It returns false if the object was already known or a later
+// version is.
+func (r *Roster) MarkUnreadable(host mesh.HostID, version uint64) (changed bool) {
+	if r.entries[host].Version > version || r.removedVersions[host] > version || r.unreadableVersions[host] >= version {
+		return false
+	}
+	r.Remove(host, version)
+	if r.unreadableVersions == nil {
+		r.unreadableVersions = make(map[mesh.HostID]uint64)
+	}
+	r.unreadableVersions[host] = version
+	return true
+}
+
+// UnreadableVersion returns the version of the host's object if it exists but contains
+// no record, otherwise zero.
+func (r *Roster) UnreadableVersion(host mesh.HostID) uint64 {
+	return r.unreadableVersions[host]
+}
+
 func (r *Roster) addChange(host mesh.HostID) {
 	r.changes = append(r.changes, host)
 	if len(r.changes) > maxRosterChanges {
--- a/internal/ctrl/recordwriter.go
+++ b/internal/ctrl/recordwriter.go
@@ -29,6 +29,9 @@
 	backoff relay.Backoff
 	// writing is true while a write is in progress.
 	writing bool
+	// conflicted is true if a write was retried at once because the stored record was
+	// newer, and none has succeeded since.
+	conflicted bool
 	// retryAt is when a failed write is retried; zero if the last one succeeded.
 	retryAt time.Time
 }
@@ -64,12 +67,17 @@
 
 func (w *recordWriter) handleWrite(e cells.ObjectEvent, now time.Time) {
 	w.writing = false
-	if e.Result == cells.StoreDone || e.Result == cells.StoreConflict && e.Current.Version > 0 {
+	newer := e.Result == cells.StoreConflict && e.Current.Version > e.Command.Version
+	switch {
+	case e.Result == cells.StoreDone:
+		w.conflicted = false
 		w.backoff.Reset()
 		w.retryAt = time.Time{}
-		return
+	case newer && !w.conflicted:
+		w.conflicted = true
+	default:
+		w.retryAt = now.Add(w.backoff.Next())
 	}
-	w.retryAt = now.Add(w.backoff.Next())
 }
 
 // write writes the record if the stored one is out of date.
@@ -87,8 +95,12 @@
 		return
 	}
 	w.writing = true
+	version := entry.Version
+	if !found {
+		version = w.Roster.Read().UnreadableVersion(desired.Host)
+	}
 	w.ObjectCommands.Send(cells.ObjectCommand{
-		Action: cells.PutRecord, Kind: cells.RecordObjects, Host: desired.Host, Node: desired, Version: entry.Version,
+		Action: cells.PutRecord, Kind: cells.RecordObjects, Host: desired.Host, Node: desired, Version: version,
 	})
 }
 
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -1,14 +1,20 @@
 package ctrl
 
 import (
+	"fmt"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/ctlmsg"
 	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
+// maxLoggedText is the maximum length in bytes of text from an unreadable object in the
+// log.
+const maxLoggedText = 200
+
 // rosterUpdater maintains the records of all nodes from the events of the platform and
 // the messages of readers.
 type rosterUpdater struct {
@@ -88,23 +94,45 @@
 // applyObject applies the change of one record. A record that cannot be decoded is
 // removed, because its node cannot be used.
 func (r *rosterUpdater) applyObject(o cells.Object) {
-	roster := r.Roster.Change()
+	roster, host := r.Roster.Change(), mesh.HostID(o.Name)
 	if o.Deleted {
-		roster.Remove(mesh.HostID(o.Name), o.Version)
+		roster.Remove(host, o.Version)
 		return
 	}
-	if old, ok := roster.Get(mesh.HostID(o.Name)); ok && old.Version >= o.Version {
+	if old, ok := roster.Get(host); ok && old.Version >= o.Version {
 		return
 	}
-	node, err := r.codec.DecodeNode(o.Value)
-	if err != nil || string(node.Host) != o.Name {
-		roster.Remove(mesh.HostID(o.Name), o.Version)
+	node, err := r.decode(o)
+	if err == nil {
+		roster.Put(cells.RosterEntry{Node: node, Version: o.Version, Record: o.Value})
+		return
+	}
+	// Any writer can create objects of any name. Those of impossible hosts are not
+	// kept, so that they use no memory.
+	if mesh.CheckName(o.Name) != nil || roster.MarkUnreadable(host, o.Version) {
 		r.LogEvents.Send(cells.LogEvent{Name: "recordUnreadable", Fields: []cells.LogField{
-			{Name: "record", Value: o.Name}, {Name: "objectVersion", Value: o.Version}, {Name: "reason", Value: errorText(err)},
+			{Name: "record", Value: truncate(o.Name)}, {Name: "objectVersion", Value: o.Version}, {Name: "reason", Value: truncate(err.Error())},
 		}})
-		return
 	}
-	roster.Put(cells.RosterEntry{Node: node, Version: o.Version, Record: o.Value})
+}
+
+// decode decodes the record in an object.
+func (r *rosterUpdater) decode(o cells.Object) (node fleet.Node, err error) {
+	if o.Malformed != nil {
+		return node, o.Malformed
+	}
+	if node, err = r.codec.DecodeNode(o.Value); err != nil {
+		return node, err
+	}
+	if string(node.Host) != o.Name {
+		return node, fmt.Errorf("record of host %q", node.Host)
+	}
+	return node, nil
+}
+
+// truncate returns at most maxLoggedText bytes of the text.
+func truncate(text string) string {
+	return text[:min(len(text), maxLoggedText)]
 }
 
 // errorText returns the text of the error, or an empty string for nil.
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -207,7 +207,7 @@
 }
 
 func newObject(o store.Object, deleted bool) cells.Object {
-	return cells.Object{Name: o.Key[strings.IndexByte(o.Key, '/')+1:], Value: o.Value, Version: o.Version, Deleted: deleted}
+	return cells.Object{Name: o.Key[strings.IndexByte(o.Key, '/')+1:], Value: o.Value, Version: o.Version, Deleted: deleted, Malformed: o.Malformed}
 }
 
 // write executes a write command and posts its result.
--- a/internal/sheet/node.go
+++ b/internal/sheet/node.go
@@ -41,7 +41,7 @@
 		Host: n.Host, Region: n.Place.Region, Zone: n.Place.Zone, Address: n.Address, LinkRate: n.LinkRate, Leaving: n.Leaving,
 	}
 	if n.PlatformRTT > 0 {
-		body.PlatformRTT = n.PlatformRTT.Round(10 * time.Microsecond).String()
+		body.PlatformRTT = n.PlatformRTT.Round(fleet.MinPlatformRTT).String()
 	}
 	if u := n.Upstream; u.Instance != "" {
 		body.Upstream = &upstreamJSON{
@@ -66,8 +66,11 @@
 	if err = mesh.CheckName(string(body.Host)); err != nil {
 		return n, err
 	}
-	if !body.Address.IsValid() {
-		return n, fmt.Errorf("address is missing")
+	if err = mesh.CheckAddress(body.Address); err != nil {
+		return n, err
+	}
+	if body.LinkRate < 0 || body.LinkRate > fleet.MaxLinkRate {
+		return n, fmt.Errorf("link rate of %d bytes per second is out of range", body.LinkRate)
 	}
 	n = fleet.Node{
 		Host: body.Host, Place: mesh.Place{Region: body.Region, Zone: body.Zone}, Address: body.Address, LinkRate: body.LinkRate, Leaving: body.Leaving,
@@ -76,18 +79,35 @@
 		if n.PlatformRTT, err = time.ParseDuration(body.PlatformRTT); err != nil {
 			return n, err
 		}
-	}
-	if u := body.Upstream; u != nil {
-		state, err := member.ParseState(u.State)
-		if err != nil {
-			return n, err
-		}
-		n.Upstream = fleet.Upstream{
-			Instance: u.Instance, StartedAt: timeFromUnixMilli(u.StartedAt), Sequence: u.Sequence, Service: u.Service,
-			Address: u.Address, State: state, Slots: u.Slots, ColdRemaining: time.Duration(u.ColdRemaining) * time.Millisecond,
+		if n.PlatformRTT != 0 && n.PlatformRTT < fleet.MinPlatformRTT {
+			return n, fmt.Errorf("round-trip time %s is out of range", n.PlatformRTT)
 		}
 	}
-	return n, nil
+	if body.Upstream != nil {
+		n.Upstream, err = body.Upstream.decode()
+	}
+	return n, err
+}
+
+// decode checks the fields and returns the upstream.
+func (u *upstreamJSON) decode() (upstream fleet.Upstream, err error) {
+	state, err := member.ParseState(u.State)
+	if err != nil {
+		return upstream, err
+	}
+	if err = mesh.CheckAddress(u.Address); err != nil {
+		return upstream, fmt.Errorf("upstream: %w", err)
+	}
+	if u.Slots < 1 || u.Slots > fleet.MaxSlots {
+		return upstream, fmt.Errorf("%d slots, want 1 to %d", u.Slots, fleet.MaxSlots)
+	}
+	if u.ColdRemaining < 0 || u.ColdRemaining > fleet.MaxColdTime.Milliseconds() {
+		return upstream, fmt.Errorf("cold for %d ms, want 0 to %d", u.ColdRemaining, fleet.MaxColdTime.Milliseconds())
+	}
+	return fleet.Upstream{
+		Instance: u.Instance, StartedAt: timeFromUnixMilli(u.StartedAt), Sequence: u.Sequence, Service: u.Service,
+		Address: u.Address, State: state, Slots: u.Slots, ColdRemaining: time.Duration(u.ColdRemaining) * time.Millisecond,
+	}, nil
 }
 
 // unixMilli returns the Unix time in milliseconds, zero for the zero time.
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -36,16 +36,20 @@
 		if after == "" {
 			revision = page.Revision
 		}
+		previous := after
 		for _, o := range page.Objects {
-			if o.Key <= after {
+			if o.Key <= after && o.Malformed == nil {
 				return nil, 0, fmt.Errorf("%w: key %q out of order", ErrUnavailable, o.Key)
 			}
-			after = o.Key
+			after = max(after, o.Key)
 			objects = append(objects, o)
 		}
 		if !page.More || len(page.Objects) == 0 {
 			return objects, revision, nil
 		}
+		if after == previous {
+			return nil, 0, fmt.Errorf("%w: page after %q contains no key", ErrUnavailable, after)
+		}
 	}
 }
 
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -48,6 +48,8 @@
 	Delete(key string, version uint64) Request
 	Watch(prefix string, from uint64, wait time.Duration) Request
 
+	// An object in a list or among events that can't be decoded doesn't fail the
+	// others: it is returned with Malformed set.
 	DecodeObject(key string, data []byte) (Object, error)
 	DecodePage(prefix string, data []byte) (Page, error)
 	DecodeEvents(prefix string, data []byte) (events []Event, next uint64, err error)
--- a/internal/store/keyvalue.go
+++ b/internal/store/keyvalue.go
@@ -1,14 +1,21 @@
 package store
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"arbutusstep.example/arbutusstep/internal/jscan"
 )
 
+// errNoKey means that an object has no key.
+var errNoKey = errors.New("object without a key")
+
 const objectsPath = "/v1/objects"
 
 // KeyValueCodec implements the object API in docs/PLATFORM.md, in which an
@@ -75,43 +82,72 @@
 	if response.Key != key {
 		return found, fmt.Errorf("response is about another key, %q", response.Key)
 	}
-	return Object(response), nil
+	return Object{Key: response.Key, Value: response.Value, Version: response.Version}, nil
 }
 
 // DecodePage implements Codec.
-func (KeyValueCodec) DecodePage(_ string, data []byte) (page Page, err error) {
+func (KeyValueCodec) DecodePage(prefix string, data []byte) (page Page, err error) {
 	var response struct {
-		Objects  []object `json:"objects"`
-		Revision uint64   `json:"revision"`
-		More     bool     `json:"more"`
+		Objects  json.RawMessage `json:"objects"`
+		Revision uint64          `json:"revision"`
+		More     bool            `json:"more"`
 	}
 	if err = json.Unmarshal(data, &response); err != nil {
 		return page, err
 	}
-	page = Page{Objects: make([]Object, len(response.Objects)), Revision: response.Revision, More: response.More}
-	for i, o := range response.Objects {
-		page.Objects[i] = Object(o)
+	page = Page{Revision: response.Revision, More: response.More}
+	err = jscan.Array(orNull(response.Objects), func(element []byte) error {
+		page.Objects = append(page.Objects, decodeElement(prefix, element, page.Revision))
+		return nil
+	})
+	return page, err
+}
+
+// decodeElement decodes one object of a list or event. Values are encoded as strings,
+// so that an element is never nested deeply.
+func decodeElement(prefix string, element []byte, revision uint64) Object {
+	var response object
+	err := json.Unmarshal(element, &response)
+	if err == nil && response.Key == "" {
+		err = errNoKey
+	}
+	if err == nil {
+		return Object{Key: response.Key, Value: response.Value, Version: response.Version}
 	}
-	return page, nil
+	key := cmp.Or(response.Key, prefix)
+	return Object{Key: key, Version: cmp.Or(response.Version, revision), Malformed: err}
 }
 
 // DecodeEvents implements Codec.
-func (KeyValueCodec) DecodeEvents(_ string, data []byte) (events []Event, next uint64, err error) {
+func (KeyValueCodec) DecodeEvents(prefix string, data []byte) (events []Event, next uint64, err error) {
 	var response struct {
-		Events []struct {
-			object
-			Deleted bool `json:"deleted"`
-		} `json:"events"`
-		Next uint64 `json:"next"`
+		Events json.RawMessage `json:"events"`
+		Next   uint64          `json:"next"`
 	}
 	if err = json.Unmarshal(data, &response); err != nil {
 		return nil, 0, err
 	}
-	events = make([]Event, len(response.Events))
-	for i, e := range response.Events {
-		events[i] = Event{Object: Object(e.object), Deleted: e.Deleted}
+	events = []Event{}
+	err = jscan.Array(orNull(response.Events), func(element []byte) error {
+		e := Event{Object: decodeElement(prefix, element, response.Next)}
+		var body struct {
+			Deleted bool `json:"deleted"`
+		}
+		if err := json.Unmarshal(element, &body); err == nil {
+			e.Deleted = body.Deleted
+		}
+		events = append(events, e)
+		return nil
+	})
+	return events, response.Next, err
+}
+
+// orNull returns a JSON null for a member that is missing.
+func orNull(value json.RawMessage) json.RawMessage {
+	if len(value) == 0 {
+		return json.RawMessage("null")
 	}
-	return events, response.Next, nil
+	return value
 }
 
 // DecodeErrorDetails implements Codec.
@@ -127,8 +163,7 @@
 	}
 	details = ErrorDetails{Revision: body.Revision, Reason: body.Error}
 	if body.Current != nil {
-		current := Object(*body.Current)
-		details.Current = &current
+		details.Current = &Object{Key: body.Current.Key, Value: body.Current.Value, Version: body.Current.Version}
 	}
 	return details
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,8 +43,12 @@
 	Key string
 	// Value is at most MaxValueSize bytes.
 	Value []byte
-	// Version is the store-wide revision of the last write to the object.
+	// Version is the store-wide revision of the last write to the object. If that can't
+	// be decoded, it is the revision of the response.
 	Version uint64
+	// Malformed is why a part of the object could not be decoded; nil if it was. Value
+	// is then empty. If even the name is unknown, Key is the prefix of the list or watch.
+	Malformed error
 }
 
 // Event describes a write to an object. Events may be delayed, duplicated or
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -324,3 +324,47 @@
 		return poll.Success()
 	}, poll.WithDelay(time.Millisecond))
 }
+
+// scriptedCodec returns the pages in order.
+type scriptedCodec struct {
+	store.KeyValueCodec
+	pages []store.Page
+	next  int
+}
+
+func (c *scriptedCodec) DecodePage(string, []byte) (page store.Page, err error) {
+	page = c.pages[min(c.next, len(c.pages)-1)]
+	c.next++
+	return page, nil
+}
+
+func TestListPassesOverOddObjects(t *testing.T) {
+	odd := errors.New("odd")
+	tests := []struct {
+		name  string
+		pages []store.Page
+		keys  []string
+		want  error
+	}{
+		{name: "no name between two others", pages: []store.Page{{Objects: []store.Object{{Key: "a/b"}, {Key: "a/", Malformed: odd}, {Key: "a/c"}}}}, keys: []string{"a/b", "a/", "a/c"}},
+		{
+			name:  "no name at the end of a page",
+			pages: []store.Page{{Objects: []store.Object{{Key: "a/b"}, {Key: "a/", Malformed: odd}}, More: true}, {Objects: []store.Object{{Key: "a/c"}}}},
+			keys:  []string{"a/b", "a/", "a/c"},
+		},
+		{name: "pages without any name", pages: []store.Page{{Objects: []store.Object{{Key: "", Malformed: odd}}, More: true}}, want: store.ErrUnavailable},
+		{name: "keys out of order", pages: []store.Page{{Objects: []store.Object{{Key: "a/c"}, {Key: "a/b"}}}}, want: store.ErrUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, client := start(t, store.Options{Codec: &scriptedCodec{pages: tt.pages}})
+			objects, _, err := client.List(t.Context(), "a/")
+			assert.Assert(t, errors.Is(err, tt.want), "%v", err)
+			var keys []string
+			for _, o := range objects {
+				keys = append(keys, o.Key)
+			}
+			assert.DeepEqual(t, keys, tt.keys)
+		})
+	}
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -16,6 +16,18 @@
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
+// Bounds of what a record or report may say. Larger values are errors of the writer.
+const (
+	// MaxSlots is the maximum number of slots of an upstream.
+	MaxSlots = 1 << 20
+	// MaxColdTime is the longest time for which an upstream may be slow after its start.
+	MaxColdTime = 24 * time.Hour
+	// MaxLinkRate is the maximum rate of a network link in bytes per second.
+	MaxLinkRate = 1 << 50
+	// MinPlatformRTT is the shortest known round-trip time to the platform.
+	MinPlatformRTT = 10 * time.Microsecond
+)
+
 // Node is the record that a node publishes about itself and the upstream next to it.
 type Node struct {
 	// Host is unique in the mesh.
--- a/pkg/mesh/names.go
+++ b/pkg/mesh/names.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"regexp"
 	"strings"
 )
@@ -67,6 +68,20 @@
 	return nil
 }
 
+// CheckAddress returns an error if connections to the address are impossible: if it is
+// missing, its port is 0, or its IP address names no single host.
+func CheckAddress(address netip.AddrPort) error {
+	switch ip := address.Addr(); {
+	case !ip.IsValid():
+		return fmt.Errorf("address is missing")
+	case address.Port() == 0:
+		return fmt.Errorf("address %s has port 0", address)
+	case ip.IsUnspecified() || ip.IsMulticast():
+		return fmt.Errorf("address %s does not name a host", address)
+	}
+	return nil
+}
+
 // ParseServiceID parses an ID in the form "customer/service" and validates its names.
 func ParseServiceID(text string) (id ServiceID, err error) {
 	customer, service, found := strings.Cut(text, "/")
