Bound what bytes without end can take

Cause: an upstream in trouble may send bytes that are no answer until the caller closes. Informational (1xx) responses were skipped without a bound, each with a fresh limit for its header, and so were late responses to other requests; a response body was read whole up to 64 MiB for each request, and a buffer of the announced length was allocated before its first byte, so that three requests could end a machine of 184 MB.

Change: all header sections before a response share one limit of 256 KiB, and at most four late responses are skipped. The bodies of all requests share half of the memory limit, in segments that are allocated as bytes arrive; while they exceed it, only bodies above the average share are dropped, as outcomes that are unknown, and the memory is returned once a response was sent.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -328,7 +328,12 @@
 // send writes one response. Large responses are scheduled by the network link of the
 // host.
 func (c *connection) send(e *exchange, last bool) (err error) {
+	if e.response.Release != nil {
+		defer e.response.Release()
+	}
 	data := encodeResponse(e.response, e.isHead, last)
+	// The encoded response takes the place of the body in memory.
+	e.response.Body = nil
 	write := func(part []byte) (err error) {
 		_ = c.conn.SetWriteTimeout(writeTimeout)
 		_, err = c.conn.Write(part)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -99,6 +99,9 @@
 	Body    []byte
 	// Length is the Content-Length of the response to a HEAD request; -1 if unknown.
 	Length int64
+	// Release is called once the body is not used any more; nil if nothing is to be
+	// done then.
+	Release func()
 }
 
 // Handler handles requests. The context is canceled when the caller disconnects.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,6 +62,9 @@
 	bytesPerMegabit  = 1e6 / 8
 	// dialTimeout limits one dial to another proxy.
 	dialTimeout = 500 * time.Millisecond
+	// bodyMemoryPercent is the part of the memory limit that response bodies may use
+	// together, in percent.
+	bodyMemoryPercent = 50
 	// maxQueuedBytes is how much data may be queued on the network link of the host
 	// before a ping. A slow link takes a considerable time to send it.
 	maxQueuedBytes = 512 << 10
@@ -253,6 +256,7 @@
 	p.router.Headers, p.router.Recorder = p.platform.Headers, &p.requestLog
 	p.router.Host, p.router.Place = settings.Host, p.place()
 	p.router.Service = func() mesh.Service { return p.settings.Load().Service }
+	p.router.BodyMemory = settings.Limits.Memory * bodyMemoryPercent / 100
 	p.router.Budget.Configure(retryLimit(settings))
 	p.front.Handler, p.front.Draining = &p.router, p.isDraining
 	p.front.Limits = func() front.Limits {
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -25,8 +25,10 @@
 	// for a key.
 	maxRecordedBody = 64 << 10
 	// maxDiscardedBody is the maximum length in bytes of the body of a late response
-	// that is discarded.
+	// that is discarded, and maxLateResponses the maximum number of late responses that
+	// are skipped before the response to a request.
 	maxDiscardedBody = 1 << 20
+	maxLateResponses = 4
 )
 
 // Headers of requests to upstreams and of their responses.
@@ -161,18 +163,15 @@
 }
 
 // readResponse waits for the head of the response. It skips informational (1xx)
-// responses and late responses to earlier requests.
+// responses and late responses to earlier requests, within limits: the upstream may send
+// either without end.
 func (x *exchange) readResponse(request *http.Request) (response *http.Response, err error) {
-	for {
-		x.conn.readLimit = maxResponseHeader
-		response, err = http.ReadResponse(x.conn.reader, request)
-		x.conn.readLimit = math.MaxInt64
-		switch {
-		case err != nil:
+	headerLimit := int64(maxResponseHeader)
+	for lateResponses := 0; lateResponses <= maxLateResponses; {
+		if response, err = x.readHeader(request, &headerLimit); err != nil {
 			return nil, err
-		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("upstream switched protocols")
-		case response.StatusCode < http.StatusOK:
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		x.info = x.headers.ParseResponse(response.StatusCode, response.Header)
@@ -180,10 +179,23 @@
 			return response, x.checkAuthentic(response)
 		}
 		x.reusable = false
+		lateResponses++
 		if err = discardResponse(response); err != nil {
 			return nil, err
 		}
 	}
+	return nil, errors.New("too many late responses")
+}
+
+// readHeader reads one header section and subtracts what was read from limit.
+func (x *exchange) readHeader(request *http.Request, limit *int64) (response *http.Response, err error) {
+	x.conn.readLimit = *limit
+	response, err = http.ReadResponse(x.conn.reader, request)
+	*limit, x.conn.readLimit = x.conn.readLimit, math.MaxInt64
+	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errors.New("upstream switched protocols")
+	}
+	return response, err
 }
 
 // checkAuthentic returns an error for a success response that may not have been
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -162,6 +161,7 @@
 func (r *Router) replaceUnsafeStatus(rs *requestState, response *front.Response) *front.Response {
 	switch response.Status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		response.Release()
 		return r.localResponse(rs, http.StatusBadGateway, ReasonUnsafeStatus, 0)
 	}
 	return response
@@ -219,24 +219,6 @@
 	return response
 }
 
-// readBody reads the response body to its end. Only a complete read proves that the
-// response is not truncated.
-func readBody(reply *peer.Reply) (body []byte, err error) {
-	defer func() { _ = reply.Body.Close() }()
-	size := max(reply.Head.GetBodyLength(), 0)
-	if size > maxResponseBytes {
-		return nil, fmt.Errorf("response of %d bytes exceeds the limit of %d", size, maxResponseBytes)
-	}
-	buffer := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	if _, err = buffer.ReadFrom(io.LimitReader(reply.Body, maxResponseBytes+1)); err != nil {
-		return nil, err
-	}
-	if buffer.Len() > maxResponseBytes {
-		return nil, fmt.Errorf("response exceeds the limit of %d bytes", maxResponseBytes)
-	}
-	return buffer.Bytes(), nil
-}
-
 // newBodyReader returns a reader of the body for one attempt, or nil if the body is
 // empty.
 func newBodyReader(body []byte) io.Reader {
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -81,9 +81,14 @@
 	// Service returns the service of the upstream of this node.
 	Service func() mesh.Service
 
+	// BodyMemory is the memory in bytes that the response bodies of all requests may
+	// use together; zero means DefaultBodyMemory.
+	BodyMemory int64
+
 	Picker   pick.Picker
 	Budget   retry.SharedBudget
 	timeouts timeoutTracker
+	bodies   bodyMemory
 
 	attemptCount atomic.Uint64
 }
@@ -113,6 +118,14 @@
 	fallback *front.Response
 }
 
+// setFallback replaces the fallback and releases the former one.
+func (rs *requestState) setFallback(response *front.Response) {
+	if rs.fallback != nil {
+		rs.fallback.Release()
+	}
+	rs.fallback = response
+}
+
 // Handle implements front.Handler.
 func (r *Router) Handle(ctx context.Context, request *front.Request) *front.Response {
 	rs := &requestState{request: request}
@@ -197,9 +210,10 @@
 		response, callErr := r.attempt(ctx, rs, candidate, expected)
 		if callErr == nil {
 			if !r.shouldRetryResponse(rs, candidate.Host, response.Status) {
+				rs.setFallback(nil)
 				return r.replaceUnsafeStatus(rs, response)
 			}
-			rs.fallback = response
+			rs.setFallback(response)
 			continue
 		}
 		if !r.shouldTryAnother(ctx, rs, callErr) {
@@ -263,9 +277,9 @@
 	pending := r.Picker.BeginWithExpectedLatency(start, candidate.Host, expected, large)
 	var outcome pick.Outcome
 	reply, err := r.call(ctx, rs, candidate)
-	var body []byte
+	body := r.bodies.hold(r.BodyMemory)
 	if err == nil {
-		body, err = readBody(reply)
+		err = body.read(reply)
 	}
 	now := time.Now()
 	if err != nil {
@@ -290,11 +304,12 @@
 	}
 	r.recordAttempt(rs, Attempt{Host: candidate.Host, ExpectedLatency: expected}, start, reply, callErr)
 	if callErr != nil {
+		body.release()
 		return nil, callErr
 	}
 	rs.upstreamAttempts++
 	return &front.Response{
-		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body, Length: reply.Head.GetBodyLength(),
+		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body.data, Length: reply.Head.GetBodyLength(), Release: body.release,
 	}, nil
 }
 
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -110,7 +110,7 @@
 }
 
 // newRouter returns a router whose calls return the results of the script.
-func newRouter(t *testing.T, kind plan.Kind, attempts int, s *scriptedCaller) (*steer.Router, *recorder) {
+func newRouter(t testing.TB, kind plan.Kind, attempts int, s *scriptedCaller) (*steer.Router, *recorder) {
 	t.Helper()
 	built, err := plan.New(5, plan.Limits{}, []plan.Service{{Name: "orders"}}, []*plan.Rule{{
 		Name: "r", Host: "a.example", Prefix: "/o/", Kind: kind, Rank: 1, Timeout: 200 * time.Millisecond, MaxAttempts: attempts,
