Serve versions and records through a tree of readers

Cause: two readers served all proxies. Once heartbeats were late by 0.7 s, all 300 proxies turned to the platform at once.

Change: fleet.Tree derives from the records who receives from whom. Up to 96 nodes it is as before. Above, the two roots serve two readers of each other region and the readers of their own region's zones, one for each 32 nodes, and those serve the nodes, two parents each. Heartbeats carry the age of the platform's last confirmation, which grows on the way, so that readers never confirm each other for ever; a level waits 0.5 s longer than the one above it before it reads from the platform, and a new watch counts as current only once it was answered. Only links to parents are subscribed, and those to former parents are closed after 5 s. Each reader removes the dead among those that receive from it; a node is left to its own parent while that one is alive. A roster that a reader passes on keeps the revision up to which it is complete.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -62,6 +62,10 @@
 	// ReadsPlatform is true while this proxy reads versions and records from the
 	// platform instead of receiving them from a reader.
 	ReadsPlatform board.Cell[bool]
+	// Tree determines which nodes receive versions and records from which others.
+	Tree board.Cell[*fleet.Tree]
+	// Freshness is until when this proxy's versions and records are known to be current.
+	Freshness board.Cell[Freshness]
 	// ActiveVersion is the version in force.
 	ActiveVersion board.Cell[ActiveVersion]
 	// Snapshot is the state that traffic threads read.
@@ -148,6 +152,25 @@
 	RTT time.Duration
 }
 
+// Freshness is until when a proxy's data is known to be current.
+type Freshness struct {
+	// Direct is true while the platform itself answers this proxy, which confirms its
+	// data continuously.
+	Direct bool
+	// ConfirmedAt is the time of the last confirmation that a reader passed on; zero if
+	// there was none.
+	ConfirmedAt time.Time
+}
+
+// LastConfirmed returns the time at which the data was last known to be current; zero if
+// it never was.
+func (f Freshness) LastConfirmed(now time.Time) time.Time {
+	if f.Direct {
+		return now
+	}
+	return f.ConfirmedAt
+}
+
 // ActiveVersion is the version in force.
 type ActiveVersion struct {
 	Plan *plan.Plan
--- a/internal/ctlmsg/ctlmsg.go
+++ b/internal/ctlmsg/ctlmsg.go
@@ -148,9 +148,13 @@
 type ReaderHeartbeat struct {
 	// Version is the version that the sender has.
 	Version mesh.Version
-	// PlatformReachable is true if the platform responds to the sender and the sender
-	// has loaded its data.
-	PlatformReachable bool
+	// Current is true if the sender has loaded its data and knows that it was current
+	// at a time.
+	Current bool
+	// Age is the time since the platform confirmed that the data is current. It includes
+	// the ages that the readers before the sender reported, so that readers that receive
+	// from each other do not confirm each other for ever.
+	Age time.Duration
 }
 
 // Document carries one version of the routes.
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,22 +45,22 @@
 }
 
 func (testCodec) DecodeNode(data []byte) (fleet.Node, error) {
-	node, ok := testNodes[string(data)]
+	node, ok := testNodes.Load(string(data))
 	if !ok {
-		return node, errors.New("unreadable")
+		return fleet.Node{}, errors.New("unreadable")
 	}
-	return node, nil
+	return node.(fleet.Node), nil
 }
 
 func (testCodec) Compress(data, _ []byte) ([]byte, error)         { return data, nil }
 func (testCodec) Decompress(compressed, _ []byte) ([]byte, error) { return compressed, nil }
 
 // testNodes contains the written records by their encoding.
-var testNodes = map[string]fleet.Node{}
+var testNodes sync.Map
 
 func encodeNode(n fleet.Node) []byte {
 	key := fmt.Sprintf("%+v", n)
-	testNodes[key] = n
+	testNodes.Store(key, n)
 	return []byte(key)
 }
 
@@ -121,7 +122,17 @@
 
 func addressOf(host mesh.HostID) netip.AddrPort {
 	number, _ := strconv.Atoi(strings.TrimPrefix(string(host), "n"))
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number + 1)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number + 1)}), 7000)
+}
+
+// placeOf returns one of two zones in each of two regions.
+func placeOf(host mesh.HostID, nearPlatform bool) mesh.Place {
+	number, _ := strconv.Atoi(strings.TrimPrefix(string(host), "n"))
+	region := mesh.Region("east")
+	if nearPlatform {
+		region = "west"
+	}
+	return mesh.Place{Region: region, Zone: mesh.Zone(fmt.Sprintf("%s-%d", region, number%2))}
 }
 
 // start starts a process of the host.
@@ -131,7 +142,7 @@
 	if nearPlatform {
 		rtt = nearRTT
 	}
-	p.cells.Self.Set(cells.ProxySelf{Host: host, Address: addressOf(host), StartedAt: s.now, Heartbeat: time.Second})
+	p.cells.Self.Set(cells.ProxySelf{Host: host, Place: placeOf(host, nearPlatform), Address: addressOf(host), StartedAt: s.now, Heartbeat: time.Second})
 	p.cells.LinkCommands.Handle = func(c cells.LinkCommand) { s.pending = append(s.pending, func() { s.handleLinkCommand(p, c) }) }
 	p.cells.ObjectCommands.Handle = func(c cells.ObjectCommand) {
 		s.pending = append(s.pending, func() { s.handleObjectCommand(p, c, rtt) })
@@ -360,7 +371,7 @@
 			s := newSim(t, 8)
 			s.advance(4 * time.Second)
 			assert.Equal(t, len(s.hostsBehind(1)), 0)
-			assert.Equal(t, len(s.directReaders()), readerCount)
+			assert.Equal(t, len(s.directReaders()), fleet.ParentCount)
 			tt.before(s)
 			s.write(cells.VersionObjects, "main", []byte("2"))
 			s.advance(applyDeadline)
@@ -599,6 +610,6 @@
 	for _, p := range s.directReaders() {
 		p.cells.ObjectEvents.Post(cells.ObjectEvent{Action: cells.WatchObjects, Result: cells.StoreFailed, Err: errors.New("down")})
 	}
-	s.advance(heartbeatTimeout + 300*time.Millisecond)
+	s.advance(fleet.DetectionTime + 300*time.Millisecond)
 	assert.Equal(t, len(s.directReaders()), 4, "not all proxies read from the platform")
 }
--- a/internal/ctrl/publisher.go
+++ b/internal/ctrl/publisher.go
@@ -12,7 +12,12 @@
 
 const (
 	// readerHeartbeatInterval is the time between two heartbeats of a reader on a link.
+	// A confirmation from this proxy's own parents is passed on at once, but not sooner
+	// than minHeartbeatInterval after the last heartbeat.
 	readerHeartbeatInterval = 250 * time.Millisecond
+	minHeartbeatInterval    = 200 * time.Millisecond
+	// maxHeartbeatAge is the age of a confirmation up to which it is passed on.
+	maxHeartbeatAge = 5 * time.Second
 	// maxBaseVersions is the maximum number of versions kept as compression
 	// dictionaries.
 	maxBaseVersions = 4
@@ -24,8 +29,9 @@
 	*cells.Proxy
 	codec Codec
 	alarm board.Alarm
-	// nextHeartbeatAt is when the next heartbeats are sent.
-	nextHeartbeatAt time.Time
+	// lastHeartbeatAt is when the last heartbeats were sent, and lastConfirmed the
+	// confirmation that they passed on.
+	lastHeartbeatAt, lastConfirmed time.Time
 	// subscribers holds what has been sent on each subscribed link.
 	subscribers map[cells.LinkID]*subscriber
 	// baseVersions holds recent versions, the oldest first.
@@ -49,7 +55,7 @@
 	}
 	return board.Controller{
 		Name:   "publisher",
-		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ActiveVersion, &proxy.Roster, &proxy.PlatformStatus, &proxy.ReadsPlatform, &p.alarm},
+		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ActiveVersion, &proxy.Roster, &proxy.Freshness, &p.alarm},
 		Writes: []board.Ref{&proxy.LinkCommands, &proxy.LogEvents, &p.alarm},
 		Step:   p.step,
 	}
@@ -64,15 +70,9 @@
 		p.sendVersion(l, p.subscribers[l])
 		p.sendRoster(l, p.subscribers[l])
 	}
-	if now.Before(p.nextHeartbeatAt) || len(p.subscribers) == 0 {
-		if len(p.subscribers) > 0 {
-			p.alarm.SetIfEarlier(p.nextHeartbeatAt)
-		}
-		return
+	if len(p.subscribers) > 0 {
+		p.sendHeartbeatsWhenDue(now)
 	}
-	p.sendHeartbeats()
-	p.nextHeartbeatAt = now.Add(readerHeartbeatInterval)
-	p.alarm.SetIfEarlier(p.nextHeartbeatAt)
 }
 
 func (p *publisher) handleEvent(e cells.LinkEvent) {
@@ -177,13 +177,29 @@
 	proxySend(p.Proxy, link, message)
 }
 
-// sendHeartbeats sends a heartbeat to each subscriber. It says that the platform is
-// reachable only if this proxy also reads from it and has loaded a version and the
-// roster.
-func (p *publisher) sendHeartbeats() {
+// sendHeartbeatsWhenDue sends a heartbeat to each subscriber at a fixed interval, and
+// earlier if there is a later confirmation to pass on.
+func (p *publisher) sendHeartbeatsWhenDue(now time.Time) {
+	interval := readerHeartbeatInterval
+	if freshness := p.Freshness.Get(); !freshness.Direct && freshness.ConfirmedAt.After(p.lastConfirmed) {
+		interval = minHeartbeatInterval
+	}
+	if due := p.lastHeartbeatAt.Add(interval); now.Before(due) {
+		p.alarm.SetIfEarlier(due)
+		return
+	}
+	p.sendHeartbeats(now)
+	p.alarm.SetIfEarlier(now.Add(readerHeartbeatInterval))
+}
+
+// sendHeartbeats sends a heartbeat to each subscriber. It says that the data is current
+// only if it is complete and a source has confirmed it recently.
+func (p *publisher) sendHeartbeats(now time.Time) {
+	p.lastHeartbeatAt, p.lastConfirmed = now, p.Freshness.Get().LastConfirmed(now)
+	age := now.Sub(p.lastConfirmed)
+	loaded := p.ActiveVersion.Get().Plan != nil && p.Roster.Read().Loaded
 	message := ctlmsg.ReaderHeartbeat{
-		Version:           p.ActiveVersion.Get().Plan.Version(),
-		PlatformReachable: p.ReadsPlatform.Get() && p.PlatformStatus.Get().Reachable && p.ActiveVersion.Get().Plan != nil && p.Roster.Read().Loaded,
+		Version: p.ActiveVersion.Get().Plan.Version(), Current: loaded && !p.lastConfirmed.IsZero() && age < maxHeartbeatAge, Age: age,
 	}
 	for _, l := range p.links() {
 		proxySend(p.Proxy, l, message)
--- a/internal/ctrl/roster.go
+++ b/internal/ctrl/roster.go
@@ -77,6 +77,7 @@
 	if m.Complete {
 		r.removeUnlisted(listed, m.Revision)
 	}
+	r.Roster.Change().Revision = max(r.Roster.Read().Revision, m.Revision)
 }
 
 // removeUnlisted removes the records that are missing from a complete list of the
--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
@@ -12,68 +13,69 @@
 )
 
 const (
-	// readerCount is the number of proxies that read versions and records from the
-	// platform for the others.
-	readerCount = 2
-	// heartbeatTimeout is the time after the last heartbeat of an up-to-date reader
-	// at which this proxy starts to read from the platform itself.
-	heartbeatTimeout = 700 * time.Millisecond
-	// startupGrace is how long a proxy waits for the first heartbeat of a reader after
-	// its start before it reads from the platform itself.
-	startupGrace = 1200 * time.Millisecond
-	// unreachableTime is how long a host is not selected as reader after a dial to it
+	// startupGrace is how much longer a proxy waits for the first confirmation after its
+	// start, before it reads from the platform itself.
+	startupGrace = 500 * time.Millisecond
+	// unreachableTime is how long a host is not selected as parent after a dial to it
 	// failed or its link was lost.
 	unreachableTime = 3 * time.Second
-	// directReadHold is how long heartbeats must have arrived in time before this
+	// directReadHold is how long confirmations must have arrived in time before this
 	// proxy stops reading from the platform itself.
 	directReadHold = time.Second
-	// minDialInterval is the minimum interval between two dials to one reader.
+	// minDialInterval is the minimum interval between two dials to one parent.
 	minDialInterval = 250 * time.Millisecond
+	// formerParentTime is how long the link to a former parent is kept, so that nothing
+	// is missed until the new ones have sent their data.
+	formerParentTime = 5 * time.Second
 )
 
-// sourceSelector selects the source of versions and records. These are the readers,
-// to which it dials links, or the platform if this proxy is a reader itself or no
-// reader is up to date.
+// sourceSelector selects the source of versions and records. These are the parents in
+// the tree of readers, to which it dials links, or the platform if this proxy is a root
+// or no parent has current data.
 type sourceSelector struct {
 	*cells.Proxy
 	alarm board.Alarm
 	// startedAt is the time of the first step.
 	startedAt time.Time
-	// lastHeartbeat contains, for each link, the time of the last heartbeat of a
-	// reader that reaches the platform and has at least this proxy's version.
-	lastHeartbeat map[cells.LinkID]time.Time
-	// freshSince is the time since which heartbeats have arrived in time; zero if
+	// confirmedAt contains, for each link, when the data of the far end was last known
+	// to be current, if it has at least this proxy's version.
+	confirmedAt map[cells.LinkID]time.Time
+	// freshSince is the time since which confirmations have arrived in time; zero if
 	// the last one is too old.
 	freshSince time.Time
+	// answered is true if the platform answered the watch of versions since it started
+	// and did not fail since.
+	answered bool
 	// unreachableUntil contains, for each unreachable host, the time until which it
-	// is not selected as reader.
+	// is not selected as parent.
 	unreachableUntil map[mesh.HostID]time.Time
-	// dialedAt contains the time of the last dial to each reader, and dialing the
+	// dialedAt contains the time of the last dial to each parent, and dialing the
 	// addresses with a dial in progress.
 	dialedAt map[mesh.HostID]time.Time
 	dialing  map[netip.AddrPort]bool
-	// subscribed contains the links on which Subscribe was sent.
-	subscribed map[cells.LinkID]bool
-	// readers are the selected readers. They are selected again if position differs
-	// from the roster's or stale is set.
-	readers  []fleet.Node
+	// subscribed contains the links on which Subscribe was sent, with the time since
+	// which the far end is not a parent any more; zero while it is.
+	subscribed map[cells.LinkID]time.Time
+	// parents are the selected parents. They are selected again if position differs from
+	// the roster's or stale is set.
+	parents  []fleet.Node
 	position int
 	stale    bool
 	// watchesRecords and watchesVersions are true while these objects are watched in
-	// the platform. isReader is true if they are watched as a reader.
-	watchesRecords, watchesVersions, isReader bool
+	// the platform. isRoot is true if they are watched as a root.
+	watchesRecords, watchesVersions, isRoot bool
 }
 
 func newSourceSelector(proxy *cells.Proxy) board.Controller {
 	s := &sourceSelector{
-		Proxy: proxy, lastHeartbeat: make(map[cells.LinkID]time.Time), unreachableUntil: make(map[mesh.HostID]time.Time),
-		dialedAt: make(map[mesh.HostID]time.Time), dialing: make(map[netip.AddrPort]bool), subscribed: make(map[cells.LinkID]bool), stale: true,
+		Proxy: proxy, confirmedAt: make(map[cells.LinkID]time.Time), unreachableUntil: make(map[mesh.HostID]time.Time),
+		dialedAt: make(map[mesh.HostID]time.Time), dialing: make(map[netip.AddrPort]bool), subscribed: make(map[cells.LinkID]time.Time), stale: true,
 	}
 	return board.Controller{
 		Name:   "sourceSelector",
-		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.Peers, &proxy.Roster, &s.alarm},
+		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ObjectEvents, &proxy.Peers, &proxy.Roster, &s.alarm},
 		Uses:   []board.Ref{&proxy.Self, &proxy.ActiveVersion},
-		Writes: []board.Ref{&proxy.ReadsPlatform, &proxy.LinkCommands, &proxy.ObjectCommands, &proxy.LogEvents, &s.alarm},
+		Writes: []board.Ref{&proxy.ReadsPlatform, &proxy.Tree, &proxy.Freshness, &proxy.LinkCommands, &proxy.ObjectCommands, &proxy.LogEvents, &s.alarm},
 		Step:   s.step,
 	}
 }
@@ -85,23 +87,24 @@
 	for _, e := range s.LinkEvents.Events() {
 		s.handleLinkEvent(e, now)
 	}
-	roster := s.Roster.Read()
-	s.selectReaders(roster, now)
-	isReader := false
-	for _, r := range s.readers {
-		if r.Host == s.Self.Get().Host {
-			isReader = true
-			continue
+	for _, e := range s.ObjectEvents.Events() {
+		if e.Action == cells.WatchObjects && e.Kind == cells.VersionObjects {
+			s.answered = e.Result == cells.StoreDone && s.watchesVersions
 		}
-		s.dialReader(r, now)
 	}
-	s.subscribe()
-	s.updateSource(isReader, roster.Loaded, now)
+	roster := s.Roster.Read()
+	s.selectParents(roster, now)
+	for _, p := range s.parents {
+		s.dialParent(p, now)
+	}
+	s.subscribe(now)
+	s.updateSource(roster.Loaded, now)
+	s.updateFreshness()
 }
 
-// selectReaders selects the readers again if the roster or the set of unreachable
-// hosts changed.
-func (s *sourceSelector) selectReaders(roster *cells.Roster, now time.Time) {
+// selectParents selects the parents again if the roster or the set of unreachable hosts
+// changed.
+func (s *sourceSelector) selectParents(roster *cells.Roster, now time.Time) {
 	for host, until := range s.unreachableUntil {
 		if now.Before(until) {
 			s.alarm.SetIfEarlier(until)
@@ -114,10 +117,12 @@
 		return
 	}
 	s.position, s.stale = roster.Position(), false
-	s.readers = fleet.SelectReaders(roster.Nodes(), readerCount, func(host mesh.HostID) bool {
+	tree := fleet.NewTree(roster.Nodes(), func(host mesh.HostID) bool {
 		_, unreachable := s.unreachableUntil[host]
 		return unreachable
 	})
+	s.Tree.Set(tree)
+	s.parents = tree.Parents(s.Self.Get().Host, s.Self.Get().Place)
 }
 
 func (s *sourceSelector) handleLinkEvent(e cells.LinkEvent, now time.Time) {
@@ -127,15 +132,17 @@
 	switch e.Kind {
 	case cells.LinkUp:
 	case cells.LinkDown:
-		delete(s.lastHeartbeat, e.Link)
+		formerSince := s.subscribed[e.Link]
+		closedHere := !formerSince.IsZero() && now.Sub(formerSince) >= formerParentTime
+		delete(s.confirmedAt, e.Link)
 		delete(s.subscribed, e.Link)
-		if e.Dialed {
+		if e.Dialed && !closedHere {
 			s.markUnreachable(e, now)
 		}
 	case cells.LinkMessage:
 		heartbeat, ok := e.Message.(ctlmsg.ReaderHeartbeat)
-		if ok && heartbeat.PlatformReachable && heartbeat.Version >= s.ActiveVersion.Get().Plan.Version() {
-			s.lastHeartbeat[e.Link] = now
+		if ok && heartbeat.Current && heartbeat.Version >= s.ActiveVersion.Get().Plan.Version() {
+			s.confirmedAt[e.Link] = latest(s.confirmedAt[e.Link], now.Add(-heartbeat.Age))
 		}
 	}
 }
@@ -154,41 +161,56 @@
 	}
 }
 
-// dialReader dials a reader unless there is a dialed link to it already.
-func (s *sourceSelector) dialReader(reader fleet.Node, now time.Time) {
-	if s.dialing[reader.Address] {
+// dialParent dials a parent unless there is a dialed link to it already.
+func (s *sourceSelector) dialParent(parent fleet.Node, now time.Time) {
+	if s.dialing[parent.Address] {
 		return
 	}
 	for _, p := range s.Peers.Read().Links() {
-		if peer := s.Peers.Read().Get(p); peer.Dialed && peer.Address == reader.Address {
+		if peer := s.Peers.Read().Get(p); peer.Dialed && peer.Address == parent.Address {
 			return
 		}
 	}
-	if earliest := s.dialedAt[reader.Host].Add(minDialInterval); now.Before(earliest) {
+	if earliest := s.dialedAt[parent.Host].Add(minDialInterval); now.Before(earliest) {
 		s.alarm.SetIfEarlier(earliest)
 		return
 	}
-	s.dialedAt[reader.Host], s.dialing[reader.Address] = now, true
-	s.LinkCommands.Send(cells.LinkCommand{Action: cells.LinkDial, Address: reader.Address})
+	s.dialedAt[parent.Host], s.dialing[parent.Address] = now, true
+	s.LinkCommands.Send(cells.LinkCommand{Action: cells.LinkDial, Address: parent.Address})
 }
 
-// subscribe requests versions and records on the dialed links.
-func (s *sourceSelector) subscribe() {
+// subscribe requests versions and records on the links to parents, and closes those to
+// former parents after a while.
+func (s *sourceSelector) subscribe(now time.Time) {
 	for _, p := range s.Peers.Read().Identified() {
-		if p.Dialed && !s.subscribed[p.Link] {
-			s.subscribed[p.Link] = true
+		if !p.Dialed {
+			continue
+		}
+		formerSince, subscribed := s.subscribed[p.Link]
+		isParent := slices.ContainsFunc(s.parents, func(n fleet.Node) bool { return n.Host == p.Hello.Host })
+		switch {
+		case isParent && !subscribed:
 			proxySend(s.Proxy, p.Link, ctlmsg.Subscribe{Version: s.ActiveVersion.Get().Plan.Version()})
+			s.subscribed[p.Link] = time.Time{}
+		case isParent:
+			s.subscribed[p.Link] = time.Time{}
+		case subscribed && formerSince.IsZero():
+			s.subscribed[p.Link] = now
+			s.alarm.SetIfEarlier(now.Add(formerParentTime))
+		case subscribed && now.Sub(formerSince) >= formerParentTime:
+			s.LinkCommands.Send(cells.LinkCommand{Action: cells.LinkClose, Link: p.Link})
+		case subscribed:
+			s.alarm.SetIfEarlier(formerSince.Add(formerParentTime))
 		}
 	}
 }
 
 // updateSource decides whether to read from the platform.
-func (s *sourceSelector) updateSource(isReader, rosterLoaded bool, now time.Time) {
-	newest := time.Time{}
-	for _, at := range s.lastHeartbeat {
-		newest = latest(newest, at)
-	}
-	fresh := !newest.IsZero() && now.Sub(newest) < heartbeatTimeout
+func (s *sourceSelector) updateSource(rosterLoaded bool, now time.Time) {
+	isRoot := s.Tree.Get().IsRoot(s.Self.Get().Host)
+	timeout := s.Tree.Get().Timeout(s.Self.Get().Host, s.Self.Get().Place)
+	newest := s.lastConfirmed()
+	fresh := !newest.IsZero() && now.Sub(newest) < timeout
 	switch {
 	case !fresh:
 		s.freshSince = time.Time{}
@@ -196,14 +218,14 @@
 		s.freshSince = now
 	}
 	if fresh {
-		s.alarm.SetIfEarlier(newest.Add(heartbeatTimeout))
+		s.alarm.SetIfEarlier(newest.Add(timeout))
 	}
 	watchVersions := s.watchesVersions
-	switch {
-	case isReader:
+	switch firstRead := s.startedAt.Add(timeout + startupGrace); {
+	case isRoot:
 		watchVersions = true
-	case !fresh && now.Before(s.startedAt.Add(startupGrace)):
-		s.alarm.SetIfEarlier(s.startedAt.Add(startupGrace))
+	case !fresh && now.Before(firstRead):
+		s.alarm.SetIfEarlier(firstRead)
 	case !fresh:
 		watchVersions = true
 	case watchVersions && now.Sub(s.freshSince) < directReadHold:
@@ -211,25 +233,42 @@
 	default:
 		watchVersions = false
 	}
-	s.setWatches(watchVersions, watchVersions || !rosterLoaded, isReader)
+	s.setWatches(watchVersions, watchVersions || !rosterLoaded, isRoot)
+}
+
+// lastConfirmed returns when the data of any parent was last known to be current.
+func (s *sourceSelector) lastConfirmed() (newest time.Time) {
+	for _, at := range s.confirmedAt {
+		newest = latest(newest, at)
+	}
+	return newest
+}
+
+// updateFreshness publishes until when this proxy's data is known to be current.
+func (s *sourceSelector) updateFreshness() {
+	next := cells.Freshness{Direct: s.watchesVersions && s.answered, ConfirmedAt: latest(s.Freshness.Get().ConfirmedAt, s.lastConfirmed())}
+	if next != s.Freshness.Get() {
+		s.Freshness.Set(next)
+	}
 }
 
 // setWatches starts or stops the watches of versions and records.
-func (s *sourceSelector) setWatches(versions, records, isReader bool) {
-	s.setWatch(cells.VersionObjects, versions, s.watchesVersions, isReader)
-	s.setWatch(cells.RecordObjects, records, s.watchesRecords, isReader)
-	s.watchesVersions, s.watchesRecords, s.isReader = versions, records, isReader
+func (s *sourceSelector) setWatches(versions, records, isRoot bool) {
+	s.setWatch(cells.VersionObjects, versions, s.watchesVersions, isRoot)
+	s.setWatch(cells.RecordObjects, records, s.watchesRecords, isRoot)
+	s.answered = s.answered && versions
+	s.watchesVersions, s.watchesRecords, s.isRoot = versions, records, isRoot
 	if versions != s.ReadsPlatform.Get() {
 		s.ReadsPlatform.Set(versions)
 	}
 }
 
 // setWatch starts or stops the watch of one kind. It restarts the watch of a proxy that
-// becomes a reader, because a reader retries failures at shorter intervals.
-func (s *sourceSelector) setWatch(kind cells.ObjectKind, wanted, active, isReader bool) {
+// becomes a root, because a root retries failures at shorter intervals.
+func (s *sourceSelector) setWatch(kind cells.ObjectKind, wanted, active, isRoot bool) {
 	switch {
-	case wanted && (!active || isReader && !s.isReader):
-		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.WatchObjects, Kind: kind, SlowRetry: !isReader})
+	case wanted && (!active || isRoot && !s.isRoot):
+		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.WatchObjects, Kind: kind, SlowRetry: !isRoot})
 	case !wanted && active:
 		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.UnwatchObjects, Kind: kind})
 	}
--- a/internal/ctrl/sweeper.go
+++ b/internal/ctrl/sweeper.go
@@ -1,10 +1,12 @@
 package ctrl
 
 import (
+	"slices"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
@@ -19,10 +21,11 @@
 	deadAfter = 14 * time.Second
 )
 
-// sweeper removes the records of dead nodes. It is active while this proxy reads from
-// the platform, as the readers do. Every node keeps a link to the readers. A node
-// without a link is dialed before it counts as dead. A node whose record was removed
-// by mistake writes it again.
+// sweeper removes the records of dead nodes. It is active while this proxy's data is
+// current, and checks the nodes that receive from this proxy, directly or through
+// others. Every node keeps a link to its parents. A node that neither has a link to this
+// proxy nor a parent that is checked in turn is dialed before it counts as dead. A node
+// whose record was removed by mistake writes it again.
 type sweeper struct {
 	*cells.Proxy
 	alarm board.Alarm
@@ -37,30 +40,36 @@
 	s := &sweeper{Proxy: proxy, lastLinked: make(map[mesh.HostID]time.Time)}
 	return board.Controller{
 		Name:   "sweeper",
-		Reads:  []board.Ref{&proxy.ReadsPlatform, &s.alarm},
-		Uses:   []board.Ref{&proxy.Self, &proxy.Peers, &proxy.Roster, &proxy.PlatformStatus},
+		Reads:  []board.Ref{&proxy.Tree, &s.alarm},
+		Uses:   []board.Ref{&proxy.Self, &proxy.Peers, &proxy.Roster, &proxy.Freshness},
 		Writes: []board.Ref{&proxy.ObjectCommands, &proxy.LinkCommands, &proxy.LogEvents, &s.alarm},
 		Step:   s.step,
 	}
 }
 
 func (s *sweeper) step(now time.Time) {
-	if !s.ReadsPlatform.Get() || !s.PlatformStatus.Get().Reachable {
-		clear(s.lastLinked)
-		return
-	}
 	s.alarm.SetIfEarlier(now.Add(livenessCheckInterval))
 	if now.Before(s.nextCheckAt) {
 		return
 	}
 	s.nextCheckAt = now.Add(livenessCheckInterval)
+	if !s.Tree.Get().IsReader(s.Self.Get().Host) || now.Sub(s.Freshness.Get().LastConfirmed(now)) > maxHeartbeatAge {
+		clear(s.lastLinked)
+		return
+	}
+	linked := make(map[mesh.HostID]bool)
 	for _, p := range s.Peers.Read().Identified() {
-		s.lastLinked[p.Hello.Host] = now
+		linked[p.Hello.Host] = true
 	}
-	roster := s.Roster.Read()
-	for _, h := range roster.Hosts() {
-		if h != s.Self.Get().Host {
-			s.checkNode(h, now)
+	roster, tree, self := s.Roster.Read(), s.Tree.Get(), s.Self.Get().Host
+	for _, n := range roster.Nodes() {
+		switch {
+		case n.Host == self || !tree.IsAncestor(self, n.Host, n.Place):
+			delete(s.lastLinked, n.Host)
+		case isCovered(tree, self, n.Host, n.Place, linked):
+			s.lastLinked[n.Host] = now
+		default:
+			s.checkNode(n.Host, now)
 		}
 	}
 	for h := range s.lastLinked {
@@ -70,6 +79,19 @@
 	}
 }
 
+// isCovered reports whether a node has a link to this proxy, or receives from a node
+// that has one and that checks it instead.
+func isCovered(tree *fleet.Tree, self, host mesh.HostID, place mesh.Place, linked map[mesh.HostID]bool) bool {
+	if linked[host] {
+		return true
+	}
+	parents := tree.Parents(host, place)
+	if slices.ContainsFunc(parents, func(p fleet.Node) bool { return p.Host == self }) {
+		return false
+	}
+	return slices.ContainsFunc(parents, func(p fleet.Node) bool { return isCovered(tree, self, p.Host, p.Place, linked) })
+}
+
 // checkNode dials a node without a link, and removes its record once it counts as
 // dead.
 func (s *sweeper) checkNode(host mesh.HostID, now time.Time) {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -96,8 +96,16 @@
 	if lowestRTT > 0 {
 		candidates = slices.DeleteFunc(candidates, func(n Node) bool { return n.PlatformRTT == 0 || n.PlatformRTT > lowestRTT+maxRTTSpread })
 	}
+	sortBySuitability(candidates)
+	return candidates[:min(count, len(candidates))]
+}
+
+// sortBySuitability sorts nodes by their suitability as readers: those with a fast link
+// first, because other nodes depend on them, and then in the order of rendezvous
+// hashing.
+func sortBySuitability(nodes []Node) {
 	highestRate := int64(0)
-	for _, n := range candidates {
+	for _, n := range nodes {
 		highestRate = max(highestRate, n.LinkRate)
 	}
 	linkRank := func(n Node) int {
@@ -106,10 +114,9 @@
 		}
 		return 1
 	}
-	slices.SortFunc(candidates, func(a, b Node) int {
+	slices.SortFunc(nodes, func(a, b Node) int {
 		return cmp.Or(cmp.Compare(linkRank(a), linkRank(b)), cmp.Compare(rendezvousWeight(b.Host), rendezvousWeight(a.Host)), cmp.Compare(a.Host, b.Host))
 	})
-	return candidates[:min(count, len(candidates))]
 }
 
 func rendezvousWeight(host mesh.HostID) uint64 {
