Deny only what the newest version denies, and start only what can be in time

Two causes, each with its test, in one commit because both stand in the router.

A request that no rule matches gets 404 only while the version in force was confirmed within 2 s; else 503 with Retry-After, as when there is no version yet. TestUnknownRouteIsDeniedOnlyByTheNewestVersion failed before.

Under overload requests wait as long as they may. The decision moves from the router to gate.StartWithin, which leaves half of the time between the typical service time and the target to service times above the typical one.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -354,6 +354,11 @@
 	return s.cells.Snapshot.Load()
 }
 
+// LastConfirmed implements steer.SnapshotSource.
+func (s snapshotSource) LastConfirmed(now time.Time) time.Time {
+	return s.cells.Freshness.Load().LastConfirmed(now)
+}
+
 // codec encodes and decodes documents and records.
 type codec struct {
 	decodePlan func(data []byte) (*plan.Plan, error)
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -22,11 +22,14 @@
 // Reasons reported in responses that this node generates. Those of the peer and serve
 // packages are reported as well.
 const (
-	ReasonNoVersion   = "no-version"
-	ReasonNoRule      = "no-rule"
-	ReasonBadHeader   = "bad-header"
-	ReasonNoUpstreams = "no-upstreams"
-	ReasonDeadline    = "deadline"
+	ReasonNoVersion = "no-version"
+	ReasonNoRule    = "no-rule"
+	// ReasonVersionUnconfirmed means that no rule matches, but that the version in force
+	// may not be the newest.
+	ReasonVersionUnconfirmed = "version-unconfirmed"
+	ReasonBadHeader          = "bad-header"
+	ReasonNoUpstreams        = "no-upstreams"
+	ReasonDeadline           = "deadline"
 	// ReasonUnsafeStatus replaces an upstream's status that would tell the caller that
 	// the request did not run.
 	ReasonUnsafeStatus = "upstream-promise"
@@ -44,6 +47,9 @@
 	// a request that a busy host refused is sent to another host. After that it is
 	// refused immediately.
 	busyRetryPercent = 25
+	// maxVersionAge is how long after its last confirmation the version in force decides
+	// that a request matches no rule.
+	maxVersionAge = 2 * time.Second
 	// noVersionRetryAfter and noUpstreamRetryAfter are the Retry-After values sent if
 	// no version is in force or no upstream is available.
 	noVersionRetryAfter  = 400 * time.Millisecond
@@ -51,16 +57,9 @@
 	// minRetryAfter and maxRetryAfter limit the Retry-After value of other refusals.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
-	// maxQueuePercent and minQueuePercent limit the part of its timeout that a request
-	// may wait for a slot, in percent.
-	maxQueuePercent = 50
-	minQueuePercent = 15
-	// slowServiceTimeTenths is an upper estimate of the service time of most requests,
-	// in tenths of the typical service time. reservedServiceTimes is the part of the
-	// timeout that must remain after the queue wait of a request from an upstream, in
-	// typical service times.
-	slowServiceTimeTenths = 25
-	reservedServiceTimes  = 3
+	// reservedServiceTimes is the part of the timeout that must remain after the queue
+	// wait of a request from an upstream, in typical service times.
+	reservedServiceTimes = 3
 	// unknownServiceTimeDivisor yields the assumed service time of a rule without
 	// samples: its latency target divided by this.
 	unknownServiceTimeDivisor = 3
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -17,6 +17,7 @@
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 	"arbutusstep.example/arbutusstep/pkg/plan"
@@ -29,6 +30,9 @@
 	// Ready returns a channel that is closed once the snapshot is complete enough to
 	// serve requests.
 	Ready() <-chan struct{}
+	// LastConfirmed returns the time at which the version in force was last known to be
+	// the newest; zero if it never was.
+	LastConfirmed(now time.Time) time.Time
 }
 
 // RemoteCaller sends calls to other nodes. Its errors are of type *peer.CallError.
@@ -158,7 +162,7 @@
 	}
 	rule, found := rs.snapshot.Plan.Match(rs.request.Host, rs.request.Path)
 	if !found {
-		return r.localResponse(rs, http.StatusNotFound, ReasonNoRule, 0)
+		return r.noRuleResponse(rs)
 	}
 	rs.rule, rs.service = rule, rule.ChooseService(rand.Float64())
 	rs.record.Rule, rs.record.Service, rs.record.Rank = rule.Name, rs.service, rule.Rank
@@ -174,6 +178,17 @@
 	return r.runAttempts(ctx, rs)
 }
 
+// noRuleResponse returns the response to a request that no rule of the version in force
+// matches. While that may not be the newest version, the rule may exist, so the caller is
+// told to come back.
+func (r *Router) noRuleResponse(rs *requestState) *front.Response {
+	now := time.Now()
+	if now.Sub(r.Snapshots.LastConfirmed(now)) > maxVersionAge {
+		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonVersionUnconfirmed, noVersionRetryAfter)
+	}
+	return r.localResponse(rs, http.StatusNotFound, ReasonNoRule, 0)
+}
+
 // waitForSnapshot waits for the first version after the start of the node, but no
 // longer than a part of the caller's timeout.
 func (r *Router) waitForSnapshot(ctx context.Context, timeout time.Duration) {
@@ -243,11 +258,11 @@
 	if typical == 0 {
 		typical = r.latencyTarget(rs) / unknownServiceTimeDivisor
 	}
-	latest := rs.record.Timeout * maxQueuePercent / 100
+	latest := gate.MaxWait(rs.record.Timeout)
 	// A large response that is late would delay others on the network link of its
 	// host, so downloads never wait longer.
 	if target := r.latencyTarget(rs) - rs.elapsedBefore; target > typical || rs.rule.Kind == plan.Download {
-		latest = min(latest, max(target-slowServiceTimeTenths*typical/10, rs.record.Timeout*minQueuePercent/100))
+		latest = gate.StartWithin(target, rs.record.Timeout, typical)
 	}
 	used := time.Since(rs.request.Arrived)
 	startWithin = max(latest-used, time.Microsecond)
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,7 @@
 func (headerCodec) RequestIDHeader(id string) (name, value string) { return "id", id }
 func (f fixedSnapshot) Snapshot() cells.ProxySnapshot              { return f.snapshot }
 func (f fixedSnapshot) Ready() <-chan struct{}                     { return f.ready }
+func (f fixedSnapshot) LastConfirmed(now time.Time) time.Time      { return now.Add(-f.age) }
 func (e *recorder) Record(record steer.RequestRecord)              { e.last = record }
 func (noLocalUpstream) Call(context.Context, *peer.Call) (*peer.Reply, error) {
 	panic("unexpected call of the local upstream")
@@ -57,6 +59,8 @@
 	fixedSnapshot struct {
 		snapshot cells.ProxySnapshot
 		ready    chan struct{}
+		// age is the time since the version was confirmed.
+		age time.Duration
 	}
 	recorder        struct{ last steer.RequestRecord }
 	noLocalUpstream struct{}
@@ -383,3 +387,28 @@
 		assert.Assert(t, hosts[unreachable])
 	})
 }
+
+func TestUnknownRouteIsDeniedOnlyByTheNewestVersion(t *testing.T) {
+	tests := []struct {
+		name, path string
+		age        time.Duration
+		status     int
+		retry      bool
+	}{
+		{name: "no rule, version confirmed", path: "/none/", age: time.Second, status: http.StatusNotFound},
+		{name: "no rule, version not confirmed", path: "/none/", age: 3 * time.Second, status: http.StatusServiceUnavailable, retry: true},
+		{name: "rule, version not confirmed", path: "/o/x", age: time.Hour, status: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			router, _ := newRouter(t, plan.Idempotent, 1, &scriptedCaller{results: []callResult{{status: 200, body: "fine"}}})
+			snapshot := router.Snapshots.(fixedSnapshot)
+			snapshot.age = tt.age
+			router.Snapshots = snapshot
+			response := router.Handle(t.Context(), newRequest(tt.path, nil))
+			assert.Equal(t, response.Status, tt.status)
+			retry := slices.ContainsFunc(response.Headers, func(h *wire.Header) bool { return h.GetName() == "Retry-After" })
+			assert.Equal(t, retry, tt.retry)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/gate/patience.go
@@ -0,0 +1,33 @@
+package gate
+
+import "time"
+
+const (
+	// maxQueuePercent and minQueuePercent limit the part of its timeout that a request
+	// may wait for a slot, in percent.
+	maxQueuePercent = 50
+	minQueuePercent = 15
+	// slowServiceTimeTenths is an upper estimate of the service time of most requests,
+	// in tenths of the typical service time.
+	slowServiceTimeTenths = 25
+	// waitSharePercent is the part of the time between the typical service time and the
+	// latency target that a request may wait in any case, in percent. The rest is left
+	// for service times above the typical one.
+	waitSharePercent = 50
+)
+
+// StartWithin returns how long after its arrival a request may start so that it is still
+// likely to meet its latency target. Requests that wait longer would mostly be late, and
+// would make those behind them late as well. A short target or a long timeout must not
+// let them: under overload, requests wait as long as they may.
+func StartWithin(target, timeout, typicalServiceTime time.Duration) time.Duration {
+	slack := max(target-typicalServiceTime, 0)
+	least := min(timeout*minQueuePercent/100, slack*waitSharePercent/100)
+	most := timeout * maxQueuePercent / 100
+	return min(most, max(target-slowServiceTimeTenths*typicalServiceTime/10, least))
+}
+
+// MaxWait returns how long a request may wait in any case.
+func MaxWait(timeout time.Duration) time.Duration {
+	return timeout * maxQueuePercent / 100
+}
--- a/pkg/gate/sim_test.go
+++ b/pkg/gate/sim_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"flag"
 	"math"
 	"math/rand/v2"
@@ -45,6 +46,10 @@
 	offered [mesh.NumPriorities]float64
 	// deadline is relative to the arrival of a request.
 	deadline time.Duration
+	// startWithin is how long a request may wait for a slot; zero for no bound.
+	startWithin time.Duration
+	// target is the time within which a response counts as good; zero means deadline.
+	target time.Duration
 	// tail makes one request in ten take eleven times as long as the others.
 	tail bool
 	// rate returns the speed at which each running request progresses; nil means 1.
@@ -148,6 +153,9 @@
 
 func (m *simulation) arrive(p int) {
 	r := &Request{Priority: mesh.Priority(p), Deadline: m.now().Add(m.deadline)}
+	if m.startWithin > 0 {
+		r.StartBy = m.now().Add(m.startWithin)
+	}
 	service := float64(simServiceTime) * (0.5 + 0.5*m.random.ExpFloat64())
 	if m.tail {
 		service = float64(simServiceTime) * (0.5 + 5*float64(m.random.IntN(10)/9))
@@ -165,7 +173,7 @@
 		m.running = append(m.running[:i], m.running[i+1:]...)
 		delete(m.requests, sr.request)
 		m.count(sr, func(t *tally) {
-			if m.at-sr.arrived <= m.deadline {
+			if m.at-sr.arrived <= cmp.Or(m.target, m.deadline) {
 				t.good++
 			} else {
 				t.wasted++
