Let a list of the platform go on as long as it makes progress

A list of 300 records is about 150 kB; 150 proxies of the far region that start at once need some 22 MB over the 30 Mbit/s between the regions, 6 s, but each list was ended after 1.5 s and begun again, so that the link stayed full for ever and every write and every version behind it was late.

Change: the timeout of a call counts from the last byte that arrived; a list as a whole may take 20 s.

--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -29,8 +29,10 @@
 	maxSlowRetryDelay = 3 * time.Second
 	// writeTimeout limits one write or deletion.
 	writeTimeout = 700 * time.Millisecond
-	// listTimeout limits one list call.
-	listTimeout = 1500 * time.Millisecond
+	// listTimeout limits one list. It is long because the lists of many nodes share the
+	// link between two regions; the client ends a list that makes no progress much
+	// earlier.
+	listTimeout = 20 * time.Second
 	// recordWatchDelay is the delay between two watches of records. Several records
 	// that change together then cost each watching node one call.
 	recordWatchDelay = 250 * time.Millisecond
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -23,14 +23,14 @@
 		return err
 	}
 	c.calls.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	response, err := c.send(ctx, op)
+	progress := newProgressTimer(ctx, timeout)
+	defer progress.stop()
+	response, err := c.send(progress.ctx, op)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseSize+1))
+	data, err := io.ReadAll(io.LimitReader(progress.reader(response.Body), maxResponseSize+1))
 	switch {
 	case err != nil:
 		return c.truncatedError(op, response.StatusCode, err)
@@ -73,6 +73,7 @@
 		httpRequest.Header.Set("Content-Type", "application/json")
 	}
 	response, err = c.transport.RoundTrip(httpRequest)
+	err = timeoutCause(ctx, err)
 	switch {
 	case err == nil:
 		return response, nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -72,7 +72,8 @@
 	Address netip.AddrPort
 	// Host identifies the calling host to the platform, in the User-Agent header.
 	Host mesh.HostID
-	// Timeout limits each call except a watch; zero means DefaultTimeout.
+	// Timeout limits the time in which nothing of the response to a call other than a
+	// watch arrives; zero means DefaultTimeout.
 	Timeout time.Duration
 	// WatchWait is how long the server may hold a watch open when there are no
 	// events; zero means DefaultWatchWait.
