Ask the platform for records only once it answers

Change: a proxy that is no root watches versions alone until the platform has answered; then the records follow at once.

--- a/internal/ctrl/proxytree_test.go
+++ b/internal/ctrl/proxytree_test.go
@@ -168,3 +168,26 @@
 		assert.Equal(t, len(p.cells.Snapshot.Load().CandidateSets["orders"].Candidates()), 1, "at %s", p.host)
 	}
 }
+
+// TestOnlyRootsAskForRecordsDuringOutage covers the calls to a platform that answers
+// nobody: all proxies look for versions, which also shows whether it answers again.
+func TestOnlyRootsAskForRecordsDuringOutage(t *testing.T) {
+	s := newLargeSim(t)
+	s.platformDown = true
+	for _, p := range s.directReaders() {
+		p.cells.ObjectEvents.Post(cells.ObjectEvent{Action: cells.WatchObjects, Kind: cells.VersionObjects, Result: cells.StoreFailed, Err: errors.New("down")})
+	}
+	s.advance(4 * time.Second)
+	watched := make(map[cells.ObjectKind]int)
+	for _, p := range s.proxies {
+		for kind := range p.watched {
+			watched[kind]++
+		}
+	}
+	assert.Equal(t, watched[cells.VersionObjects], largeFleet)
+	assert.Equal(t, watched[cells.RecordObjects], fleet.ParentCount)
+	s.platformDown = false
+	s.write(cells.VersionObjects, "main", []byte("2"))
+	s.advance(applyDeadline)
+	assert.DeepEqual(t, s.hostsBehind(2), []mesh.HostID(nil))
+}
--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -233,7 +233,10 @@
 	default:
 		watchVersions = false
 	}
-	s.setWatches(watchVersions, watchVersions || !rosterLoaded, isRoot)
+	// The watch of versions also shows whether the platform answers. While it does not,
+	// only the roots ask for records as well.
+	watchRecords := watchVersions && (isRoot || s.answered)
+	s.setWatches(watchVersions, watchRecords || !rosterLoaded, isRoot)
 }
 
 // lastConfirmed returns when the data of any parent was last known to be current.
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -32,13 +32,20 @@
 	p.cancel(context.Canceled)
 }
 
+// extend starts the timer again, unless it has already ended the call.
+func (p *progressTimer) extend() {
+	if p.timer.Stop() {
+		p.timer.Reset(p.timeout)
+	}
+}
+
 // reader returns a reader of the response that starts the timer again whenever data
 // arrives. Its errors tell a timeout.
 func (p *progressTimer) reader(source io.Reader) io.Reader {
 	return readerFunc(func(data []byte) (n int, err error) {
 		n, err = source.Read(data)
-		if n > 0 && p.timer.Stop() {
-			p.timer.Reset(p.timeout)
+		if n > 0 {
+			p.extend()
 		}
 		return n, timeoutCause(p.ctx, err)
 	})
--- a/internal/store/progress_test.go
+++ b/internal/store/progress_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,12 +25,13 @@
 	pause time.Duration
 	// stalled is true if the last part is never sent.
 	stalled bool
+	running sync.WaitGroup
 }
 
 // Dial implements store.Dialer.
 func (s *slowServer) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
 	near, far := net.Pipe()
-	go s.serve(far)
+	s.running.Go(func() { s.serve(far) })
 	return near, nil
 }
 
@@ -59,18 +61,21 @@
 	const timeout = 1500 * time.Millisecond
 	tests := []struct {
 		name   string
-		server slowServer
+		server *slowServer
 		want   error
 	}{
-		{name: "slow but steady", server: slowServer{parts: 20, pause: time.Second}},
-		{name: "silent from the start", server: slowServer{pause: time.Hour}, want: store.ErrUnavailable},
-		{name: "silent after a part", server: slowServer{parts: 3, pause: time.Second, stalled: true}, want: store.ErrUnavailable},
+		{name: "slow but steady", server: &slowServer{parts: 20, pause: time.Second}},
+		{name: "silent from the start", server: &slowServer{pause: time.Hour}, want: store.ErrUnavailable},
+		{name: "silent after a part", server: &slowServer{parts: 3, pause: time.Second, stalled: true}, want: store.ErrUnavailable},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				client := store.New(store.Options{Dialer: &tt.server, RateLimiter: unlimited(), Timeout: timeout})
-				defer client.Close()
+				client := store.New(store.Options{Address: loopback, Dialer: tt.server, RateLimiter: unlimited(), Timeout: timeout})
+				defer func() {
+					client.Close()
+					tt.server.running.Wait()
+				}()
 				start := time.Now()
 				_, revision, err := client.List(t.Context(), "a/")
 				assert.Assert(t, errors.Is(err, tt.want), "%v", err)
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -30,6 +30,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	progress.extend()
 	data, err := io.ReadAll(io.LimitReader(progress.reader(response.Body), maxResponseSize+1))
 	switch {
 	case err != nil:
