Let requests that can't be in time yield to those that can

Cause: a request that came back after a refusal, too late for its latency target, was allowed to wait for half of its timeout, so that it would yield.

Change: such a request is marked as overdue. It gets a slot only if no other request of its priority waits, and is refused at once when those that are not overdue leave it too little room. Calls of upstreams are never overdue.

--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -204,13 +204,13 @@
 	head := state.call.Head
 	request = gate.Request{
 		Priority: mesh.Priority(head.GetPriority()), Class: head.GetRoute(),
-		TypicalServiceTime: time.Duration(head.GetTypicalMicros()) * time.Microsecond,
+		TypicalServiceTime: time.Duration(head.GetTypicalMicros()) * time.Microsecond, Overdue: head.GetOverdue(),
 	}
 	request.Deadline, _ = ctx.Deadline()
 	within := head.GetStartWithinMicros()
 	if h.ServiceShare != nil && h.origins.recordCall(head.GetRoute(), mesh.Service(head.GetCallerService()), state.upstream.service, h.ServiceShare()) {
 		within = max(within, head.GetPatientMicros())
-		request.Priority = min(request.Priority+1, mesh.Urgent)
+		request.Priority, request.Overdue = min(request.Priority+1, mesh.Urgent), false
 	}
 	if within > 0 {
 		request.StartBy = state.arrivedAt.Add(time.Duration(within) * time.Microsecond)
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -261,14 +261,20 @@
 	latest := gate.MaxWait(rs.record.Timeout)
 	// A large response that is late would delay others on the network link of its
 	// host, so downloads never wait longer.
-	if target := r.latencyTarget(rs) - rs.elapsedBefore; target > typical || rs.rule.Kind == plan.Download {
-		latest = gate.StartWithin(target, rs.record.Timeout, typical)
+	if !r.isOverdue(rs, typical) || rs.rule.Kind == plan.Download {
+		latest = gate.StartWithin(r.latencyTarget(rs)-rs.elapsedBefore, rs.record.Timeout, typical)
 	}
 	used := time.Since(rs.request.Arrived)
 	startWithin = max(latest-used, time.Microsecond)
 	return startWithin, max(rs.record.Timeout-reservedServiceTimes*typical-used, startWithin)
 }
 
+// isOverdue reports whether a request can no longer meet its latency target, because its
+// caller spent the time on earlier attempts.
+func (r *Router) isOverdue(rs *requestState, typical time.Duration) bool {
+	return r.latencyTarget(rs)-rs.elapsedBefore <= typical
+}
+
 // distanceCosts returns the cost of distance for a request of the rule. Large
 // responses are expensive to transfer, so nearby upstreams are preferred as long as
 // they are fast enough.
@@ -340,7 +346,7 @@
 		Priority: uint32(priorityOf(rs.rule.Rank)), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: int64(len(rs.request.Body)),
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
-		TypicalMicros: typical.Microseconds(),
+		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
 		Attempt:       string(r.Host) + "-" + strconv.FormatUint(r.attemptCount.Add(1), 36),
 	}
 	call := &peer.Call{Head: head, CheckLiveness: len(rs.tried) > 1, Body: newBodyReader(rs.request.Body)}
--- a/pkg/gate/patience_test.go
+++ b/pkg/gate/patience_test.go
@@ -58,3 +58,39 @@
 		})
 	}
 }
+
+// TestOverdueRequestsYield mixes requests that come back after a refusal, too late for
+// their latency target, with new ones. Under overload the new ones must be served as if
+// the others were not there; otherwise both are served.
+func TestOverdueRequestsYield(t *testing.T) {
+	const target, timeout = 3 * simServiceTime, 15 * simServiceTime
+	tests := []struct {
+		name string
+		// load is the offered load as a multiple of the capacity, half of it overdue.
+		load float64
+		// timely and overdue are the smallest shares that must be answered; those that
+		// are not overdue must be in time.
+		timely, overdue float64
+		// maxOverdue is the largest share of overdue requests that may take a slot.
+		maxOverdue float64
+	}{
+		{name: "room for all", load: 0.8, timely: 0.95, overdue: 0.95, maxOverdue: 1},
+		{name: "room for the timely ones alone", load: 1.9, timely: 0.75, maxOverdue: 0.25},
+		{name: "no room for the timely ones", load: 4, timely: 0.43, maxOverdue: 0.03},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			queue := &Queue{}
+			queue.Configure(simStart, Config{Slots: simSlots, FixedLimit: true, PredictWait: true})
+			var overdue tally
+			timely := simulate(queue, scenario{
+				length: 20 * time.Second, offered: [mesh.NumPriorities]float64{mesh.Normal: tt.load}, countFrom: time.Second,
+				deadline: timeout, target: target, startWithin: StartWithin(target, timeout, simServiceTime),
+				overdueShare: 0.5, overdueWithin: MaxWait(timeout), overdue: &overdue,
+			})[mesh.Normal]
+			assert.Check(t, timely.share() >= tt.timely, "%.2f of the timely requests were in time", timely.share())
+			answered := float64(overdue.good+overdue.wasted) / float64(overdue.offered)
+			assert.Check(t, answered >= tt.overdue && answered <= tt.maxOverdue, "%.2f of the overdue requests were answered", answered)
+		})
+	}
+}
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -66,6 +66,8 @@
 	classEstimates map[string]*estimate
 	// offeredLoads hold the offered load of each priority.
 	offeredLoads [mesh.NumPriorities]offeredLoad
+	// timelyLoads hold the part of it by requests that are not overdue.
+	timelyLoads [mesh.NumPriorities]offeredLoad
 	stall        stallDetector
 	changed      []*Request
 }
@@ -89,6 +91,9 @@
 	q.changed = q.changed[:0]
 	r.Priority = min(r.Priority, mesh.NumPriorities-1)
 	q.offeredLoads[r.Priority].add(now, q.expectedServiceTime(now, r))
+	if !r.Overdue {
+		q.timelyLoads[r.Priority].add(now, q.expectedServiceTime(now, r))
+	}
 	switch {
 	case q.draining:
 		q.reject(now, r, Draining)
@@ -252,8 +257,8 @@
 
 // predictedWait estimates how long a request that arrives now waits for a slot. It
 // assumes that slots become free one at a time, evenly spread over a service time,
-// and that more urgent requests keep arriving at their recent rate and take their
-// part of the slots.
+// and that the requests that go before this one keep arriving at their recent rate and
+// take their part of the slots.
 func (q *Queue) predictedWait(now time.Time, r *Request) (wait time.Duration) {
 	slots := time.Duration(q.limiter.current(now))
 	for p := int(r.Priority); p < len(q.subqueues); p++ {
@@ -265,6 +270,9 @@
 	}
 	wait += max(q.serviceTime(now, r.Priority), q.expectedServiceTime(now, r)) / slots
 	urgentLoad := 0.0
+	if r.Overdue {
+		urgentLoad = q.timelyLoads[r.Priority].at(now)
+	}
 	for p := int(r.Priority) + 1; p < len(q.offeredLoads); p++ {
 		urgentLoad += q.offeredLoads[p].at(now)
 	}
--- a/pkg/gate/request.go
+++ b/pkg/gate/request.go
@@ -85,6 +85,9 @@
 	Deadline time.Time
 	// StartBy is when the request must have got its slot; zero means no bound.
 	StartBy time.Time
+	// Overdue is true if the request can no longer meet its latency target. It gets a
+	// slot only if no other request of its priority waits for one.
+	Overdue bool
 	// Class groups requests that take about the same time; empty if only the
 	// priority is known.
 	Class string
--- a/pkg/gate/sim_test.go
+++ b/pkg/gate/sim_test.go
@@ -58,6 +58,11 @@
 	shedsAbove func(at time.Duration) int
 	// countFrom is when counting starts.
 	countFrom time.Duration
+	// overdueShare is the share of requests that are overdue. They may wait overdueWithin
+	// and are counted in overdue instead of the result.
+	overdueShare  float64
+	overdueWithin time.Duration
+	overdue       *tally
 }
 
 // tally counts the requests of one priority by result.
@@ -156,6 +161,9 @@
 	if m.startWithin > 0 {
 		r.StartBy = m.now().Add(m.startWithin)
 	}
+	if m.overdueShare > 0 && m.random.Float64() < m.overdueShare {
+		r.Overdue, r.StartBy = true, m.now().Add(m.overdueWithin)
+	}
 	service := float64(simServiceTime) * (0.5 + 0.5*m.random.ExpFloat64())
 	if m.tail {
 		service = float64(simServiceTime) * (0.5 + 5*float64(m.random.IntN(10)/9))
@@ -204,7 +212,12 @@
 }
 
 func (m *simulation) count(sr *simRequest, add func(t *tally)) {
-	if sr.arrived >= m.countFrom && sr.arrived < m.length-m.deadline {
+	if sr.arrived < m.countFrom || sr.arrived >= m.length-m.deadline {
+		return
+	}
+	if sr.request.Overdue {
+		add(m.overdue)
+	} else {
 		add(&m.result[sr.request.Priority])
 	}
 }
--- a/pkg/gate/subqueue.go
+++ b/pkg/gate/subqueue.go
@@ -75,10 +75,12 @@
 	return len(s.requests) - 1
 }
 
-// startsAfter reports whether the other request must start before this one. A
-// request without StartBy goes last.
+// startsAfter reports whether the other request must start before this one. An overdue
+// request goes after those that are not, and one without StartBy last.
 func (r *Request) startsAfter(other *Request) bool {
 	switch {
+	case r.Overdue != other.Overdue:
+		return r.Overdue
 	case other.StartBy.IsZero():
 		return false
 	case r.StartBy.IsZero():
