Keep far proxies from filling the link between regions

The link between the regions carries 30 Mbit/s for all. Whenever heartbeats of the roots were late on it, each of 150 far proxies turned to the platform itself: a list of 150 kB, the document of 55 kB and every change of every record, some 500 bytes each, which kept that link full and the heartbeats late.

Change: only the children of the roots turn to the platform quickly. A node below them whose parents are alive, but out of date as well, waits 2 to 4 s longer, as those above it look for the platform. A watch continues from the revision up to which a proxy's objects are known, which heartbeats and rosters pass on, in place of a new list. Requests may wait three quarters of the time that the target leaves, so that the deployments with longer targets keep the waits that they had, and downloads keep theirs.

--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -45,6 +45,9 @@
 	Node fleet.Node
 	// Version is the expected version of the object; zero if it must not exist.
 	Version uint64
+	// Revision is the revision up to which the objects are known, from which WatchObjects
+	// continues; zero if they must be listed first.
+	Revision uint64
 	// SlowRetry makes WatchObjects retry failures at longer intervals. It is set if
 	// only this proxy waits for the objects.
 	SlowRetry bool
--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -160,6 +160,8 @@
 	// ConfirmedAt is the time of the last confirmation that a reader passed on; zero if
 	// there was none.
 	ConfirmedAt time.Time
+	// Revision is the platform revision up to which all versions are known.
+	Revision uint64
 }
 
 // LastConfirmed returns the time at which the data was last known to be current; zero if
--- a/internal/ctlmsg/ctlmsg.go
+++ b/internal/ctlmsg/ctlmsg.go
@@ -155,6 +155,8 @@
 	// the ages that the readers before the sender reported, so that readers that receive
 	// from each other do not confirm each other for ever.
 	Age time.Duration
+	// Revision is the platform revision up to which the sender knows all versions.
+	Revision uint64
 }
 
 // Document carries one version of the routes.
--- a/internal/ctrl/publisher.go
+++ b/internal/ctrl/publisher.go
@@ -200,6 +200,7 @@
 	loaded := p.ActiveVersion.Get().Plan != nil && p.Roster.Read().Loaded
 	message := ctlmsg.ReaderHeartbeat{
 		Version: p.ActiveVersion.Get().Plan.Version(), Current: loaded && !p.lastConfirmed.IsZero() && age < maxHeartbeatAge, Age: age,
+		Revision: p.Freshness.Get().Revision,
 	}
 	for _, l := range p.links() {
 		proxySend(p.Proxy, l, message)
--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -40,6 +40,10 @@
 	// confirmedAt contains, for each link, when the data of the far end was last known
 	// to be current, if it has at least this proxy's version.
 	confirmedAt map[cells.LinkID]time.Time
+	// heardAt contains the time of the last heartbeat on each link, of any content.
+	heardAt map[cells.LinkID]time.Time
+	// revision is the platform revision up to which all versions are known.
+	revision uint64
 	// freshSince is the time since which confirmations have arrived in time; zero if
 	// the last one is too old.
 	freshSince time.Time
@@ -68,7 +72,7 @@
 
 func newSourceSelector(proxy *cells.Proxy) board.Controller {
 	s := &sourceSelector{
-		Proxy: proxy, confirmedAt: make(map[cells.LinkID]time.Time), unreachableUntil: make(map[mesh.HostID]time.Time),
+		Proxy: proxy, confirmedAt: make(map[cells.LinkID]time.Time), heardAt: make(map[cells.LinkID]time.Time), unreachableUntil: make(map[mesh.HostID]time.Time),
 		dialedAt: make(map[mesh.HostID]time.Time), dialing: make(map[netip.AddrPort]bool), subscribed: make(map[cells.LinkID]time.Time), stale: true,
 	}
 	return board.Controller{
@@ -90,6 +94,7 @@
 	for _, e := range s.ObjectEvents.Events() {
 		if e.Action == cells.WatchObjects && e.Kind == cells.VersionObjects {
 			s.answered = e.Result == cells.StoreDone && s.watchesVersions
+			s.revision = max(s.revision, e.Revision)
 		}
 	}
 	roster := s.Roster.Read()
@@ -135,18 +140,29 @@
 		formerSince := s.subscribed[e.Link]
 		closedHere := !formerSince.IsZero() && now.Sub(formerSince) >= formerParentTime
 		delete(s.confirmedAt, e.Link)
+		delete(s.heardAt, e.Link)
 		delete(s.subscribed, e.Link)
 		if e.Dialed && !closedHere {
 			s.markUnreachable(e, now)
 		}
 	case cells.LinkMessage:
-		heartbeat, ok := e.Message.(ctlmsg.ReaderHeartbeat)
-		if ok && heartbeat.Current && heartbeat.Version >= s.ActiveVersion.Get().Plan.Version() {
-			s.confirmedAt[e.Link] = latest(s.confirmedAt[e.Link], now.Add(-heartbeat.Age))
+		if heartbeat, ok := e.Message.(ctlmsg.ReaderHeartbeat); ok {
+			s.handleHeartbeat(e.Link, heartbeat, now)
 		}
 	}
 }
 
+func (s *sourceSelector) handleHeartbeat(link cells.LinkID, heartbeat ctlmsg.ReaderHeartbeat, now time.Time) {
+	s.heardAt[link] = now
+	version := s.ActiveVersion.Get().Plan.Version()
+	if heartbeat.Current && heartbeat.Version >= version {
+		s.confirmedAt[link] = latest(s.confirmedAt[link], now.Add(-heartbeat.Age))
+	}
+	if heartbeat.Current && heartbeat.Version == version {
+		s.revision = max(s.revision, heartbeat.Revision)
+	}
+}
+
 // markUnreachable excludes the host at the far end of a dialed link from the
 // selection for unreachableTime.
 func (s *sourceSelector) markUnreachable(e cells.LinkEvent, now time.Time) {
@@ -208,7 +224,7 @@
 // updateSource decides whether to read from the platform.
 func (s *sourceSelector) updateSource(rosterLoaded bool, now time.Time) {
 	isRoot := s.Tree.Get().IsRoot(s.Self.Get().Host)
-	timeout := s.Tree.Get().Timeout(s.Self.Get().Host, s.Self.Get().Place)
+	timeout := s.Tree.Get().Timeout(s.Self.Get().Host, s.Self.Get().Place, s.hearsParent(now))
 	newest := s.lastConfirmed()
 	fresh := !newest.IsZero() && now.Sub(newest) < timeout
 	switch {
@@ -239,6 +255,17 @@
 	s.setWatches(watchVersions, watchRecords || !rosterLoaded, isRoot)
 }
 
+// hearsParent reports whether a parent has sent a heartbeat recently, current or not.
+func (s *sourceSelector) hearsParent(now time.Time) bool {
+	for _, at := range s.heardAt {
+		if now.Sub(at) < fleet.DetectionTime {
+			s.alarm.SetIfEarlier(at.Add(fleet.DetectionTime))
+			return true
+		}
+	}
+	return false
+}
+
 // lastConfirmed returns when the data of any parent was last known to be current.
 func (s *sourceSelector) lastConfirmed() (newest time.Time) {
 	for _, at := range s.confirmedAt {
@@ -249,7 +276,7 @@
 
 // updateFreshness publishes until when this proxy's data is known to be current.
 func (s *sourceSelector) updateFreshness() {
-	next := cells.Freshness{Direct: s.watchesVersions && s.answered, ConfirmedAt: latest(s.Freshness.Get().ConfirmedAt, s.lastConfirmed())}
+	next := cells.Freshness{Direct: s.watchesVersions && s.answered, ConfirmedAt: latest(s.Freshness.Get().ConfirmedAt, s.lastConfirmed()), Revision: s.revision}
 	if next != s.Freshness.Get() {
 		s.Freshness.Set(next)
 	}
@@ -257,8 +284,16 @@
 
 // setWatches starts or stops the watches of versions and records.
 func (s *sourceSelector) setWatches(versions, records, isRoot bool) {
-	s.setWatch(cells.VersionObjects, versions, s.watchesVersions, isRoot)
-	s.setWatch(cells.RecordObjects, records, s.watchesRecords, isRoot)
+	known := uint64(0)
+	if s.ActiveVersion.Get().Plan != nil {
+		known = s.revision
+	}
+	s.setWatch(cells.VersionObjects, versions, s.watchesVersions, isRoot, known)
+	known = 0
+	if s.Roster.Read().Loaded {
+		known = s.Roster.Read().Revision
+	}
+	s.setWatch(cells.RecordObjects, records, s.watchesRecords, isRoot, known)
 	s.answered = s.answered && versions
 	s.watchesVersions, s.watchesRecords, s.isRoot = versions, records, isRoot
 	if versions != s.ReadsPlatform.Get() {
@@ -266,12 +301,13 @@
 	}
 }
 
-// setWatch starts or stops the watch of one kind. It restarts the watch of a proxy that
+// setWatch starts or stops the watch of one kind, of which all objects are known up to a
+// revision. It restarts the watch of a proxy that
 // becomes a root, because a root retries failures at shorter intervals.
-func (s *sourceSelector) setWatch(kind cells.ObjectKind, wanted, active, isRoot bool) {
+func (s *sourceSelector) setWatch(kind cells.ObjectKind, wanted, active, isRoot bool, known uint64) {
 	switch {
 	case wanted && (!active || isRoot && !s.isRoot):
-		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.WatchObjects, Kind: kind, SlowRetry: !isRoot})
+		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.WatchObjects, Kind: kind, Revision: known, SlowRetry: !isRoot})
 	case !wanted && active:
 		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.UnwatchObjects, Kind: kind})
 	}
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -97,7 +97,7 @@
 		d.stopWatch(command.Kind)
 		ctx, cancel := context.WithCancel(d.ctx)
 		d.cancelWatch[command.Kind] = cancel
-		d.running.Go(func() { d.watchKind(ctx, command.Kind, newBackoff(command)) })
+		d.running.Go(func() { d.watchKind(ctx, command.Kind, command.Revision, newBackoff(command)) })
 	case cells.UnwatchObjects:
 		d.stopWatch(command.Kind)
 	default:
@@ -132,10 +132,11 @@
 }
 
 // watchKind posts all objects of a kind and then their changes until the context ends.
-// It lists the objects again only if the platform no longer has the history of changes
-// since the last event.
-func (d *Driver) watchKind(ctx context.Context, kind cells.ObjectKind, backoff store.Backoff) {
-	from, listed := uint64(0), false
+// If from is not zero, the objects are known up to that revision and are not listed. They
+// are listed again only if the platform no longer has the history of changes since the
+// last event.
+func (d *Driver) watchKind(ctx context.Context, kind cells.ObjectKind, from uint64, backoff store.Backoff) {
+	listed := from != 0
 	for ctx.Err() == nil {
 		var err error
 		changes := 0
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -57,6 +57,9 @@
 	// minRetryAfter and maxRetryAfter limit the Retry-After value of other refusals.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// overdueServiceTimePercent is the time that a request needs to meet its latency
+	// target, in percent of the typical service time.
+	overdueServiceTimePercent = 125
 	// reservedServiceTimes is the part of the timeout that must remain after the queue
 	// wait of a request from an upstream, in typical service times.
 	reservedServiceTimes = 3
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -261,8 +261,11 @@
 	latest := gate.MaxWait(rs.record.Timeout)
 	// A large response that is late would delay others on the network link of its
 	// host, so downloads never wait longer.
-	if !r.isOverdue(rs, typical) || rs.rule.Kind == plan.Download {
+	switch overdue := r.isOverdue(rs, typical); {
+	case !overdue:
 		latest = gate.StartWithin(r.latencyTarget(rs)-rs.elapsedBefore, rs.record.Timeout, typical)
+	case rs.rule.Kind == plan.Download:
+		latest = gate.StartWithin(r.latencyTarget(rs), rs.record.Timeout, typical)
 	}
 	used := time.Since(rs.request.Arrived)
 	startWithin = max(latest-used, time.Microsecond)
@@ -272,7 +275,7 @@
 // isOverdue reports whether a request can no longer meet its latency target, because its
 // caller spent the time on earlier attempts.
 func (r *Router) isOverdue(rs *requestState, typical time.Duration) bool {
-	return r.latencyTarget(rs)-rs.elapsedBefore <= typical
+	return r.latencyTarget(rs)-rs.elapsedBefore <= typical*overdueServiceTimePercent/100
 }
 
 // distanceCosts returns the cost of distance for a request of the rule. Large
@@ -347,7 +350,7 @@
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
 		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
-		Attempt:       string(r.Host) + "-" + strconv.FormatUint(r.attemptCount.Add(1), 36),
+		Attempt: string(r.Host) + "-" + strconv.FormatUint(r.attemptCount.Add(1), 36),
 	}
 	call := &peer.Call{Head: head, CheckLiveness: len(rs.tried) > 1, Body: newBodyReader(rs.request.Body)}
 	if candidate.Host == r.Host {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -39,7 +39,7 @@
 	case ctlmsg.Subscribe:
 		return &Control{Body: &Control_Want{Want: &Want{Version: uint64(m.Version)}}}
 	case ctlmsg.ReaderHeartbeat:
-		return &Control{Body: &Control_Pulse{Pulse: &Pulse{Version: uint64(m.Version), Reached: m.Current, AgeMicros: m.Age.Microseconds()}}}
+		return &Control{Body: &Control_Pulse{Pulse: &Pulse{Version: uint64(m.Version), Reached: m.Current, AgeMicros: m.Age.Microseconds(), Revision: m.Revision}}}
 	case ctlmsg.Document:
 		return &Control{Body: &Control_Document{Document: &Document{
 			Version: uint64(m.Version), Base: uint64(m.Base), Packed: m.Compressed,
@@ -84,7 +84,10 @@
 	case *Control_Want:
 		return ctlmsg.Subscribe{Version: mesh.Version(b.Want.GetVersion())}, nil
 	case *Control_Pulse:
-		return ctlmsg.ReaderHeartbeat{Version: mesh.Version(b.Pulse.GetVersion()), Current: b.Pulse.GetReached(), Age: time.Duration(max(0, b.Pulse.GetAgeMicros())) * time.Microsecond}, nil
+		return ctlmsg.ReaderHeartbeat{
+			Version: mesh.Version(b.Pulse.GetVersion()), Current: b.Pulse.GetReached(),
+			Age: time.Duration(max(0, b.Pulse.GetAgeMicros())) * time.Microsecond, Revision: b.Pulse.GetRevision(),
+		}, nil
 	case *Control_Document:
 		return ctlmsg.Document{
 			Version: mesh.Version(b.Document.GetVersion()), Base: mesh.Version(b.Document.GetBase()), Compressed: b.Document.GetPacked(),
--- a/pkg/fleet/tree.go
+++ b/pkg/fleet/tree.go
@@ -27,6 +27,12 @@
 	// FailoverTime is how much longer each further level waits, so that the level above
 	// can find another source first.
 	FailoverTime = 500 * time.Millisecond
+	// minPatience and maxPatience limit how much longer a node waits whose parents are
+	// alive and are no children of the roots, but whose data is out of date as well.
+	// Those above it look for the platform, and all others would only fill the links
+	// to it.
+	minPatience = 2 * time.Second
+	maxPatience = 4 * time.Second
 )
 
 // Tree determines from which other nodes each node receives versions and records. The
@@ -152,14 +158,18 @@
 	return sorted[:ParentCount]
 }
 
-// Timeout returns the time without confirmation after which a host considers its data
-// out of date.
-func (t *Tree) Timeout(host mesh.HostID, place mesh.Place) time.Duration {
+// Timeout returns the time without confirmation after which a host reads from the
+// platform itself. hearsParent is true if one of its parents is alive.
+func (t *Tree) Timeout(host mesh.HostID, place mesh.Place, hearsParent bool) (timeout time.Duration) {
 	levels := 0
 	if parents := t.Parents(host, place); len(parents) > 0 {
 		levels = t.depths[parents[0].Host]
 	}
-	return DetectionTime + time.Duration(levels)*FailoverTime
+	timeout = DetectionTime + time.Duration(levels)*FailoverTime
+	if hearsParent && levels > 0 {
+		timeout += minPatience + time.Duration(rendezvousWeight(host)%uint64(maxPatience-minPatience))
+	}
+	return timeout
 }
 
 // IsAncestor reports whether data reaches the host through the ancestor.
--- a/pkg/gate/patience.go
+++ b/pkg/gate/patience.go
@@ -13,7 +13,7 @@
 	// waitSharePercent is the part of the time between the typical service time and the
 	// latency target that a request may wait in any case, in percent. The rest is left
 	// for service times above the typical one.
-	waitSharePercent = 50
+	waitSharePercent = 75
 )
 
 // StartWithin returns how long after its arrival a request may start so that it is still
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -68,8 +68,8 @@
 	offeredLoads [mesh.NumPriorities]offeredLoad
 	// timelyLoads hold the part of it by requests that are not overdue.
 	timelyLoads [mesh.NumPriorities]offeredLoad
-	stall        stallDetector
-	changed      []*Request
+	stall       stallDetector
+	changed     []*Request
 }
 
 // Configure changes the configuration. Running and waiting requests are kept.
