--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -261,11 +261,11 @@
 	latest := gate.MaxWait(rs.record.Timeout)
 	// A large response that is late would delay others on the network link of its
 	// host, so downloads never wait longer.
-	switch overdue := r.isOverdue(rs, typical); {
-	case !overdue:
+	if !r.isOverdue(rs, typical) {
 		latest = gate.StartWithin(r.latencyTarget(rs)-rs.elapsedBefore, rs.record.Timeout, typical)
-	case rs.rule.Kind == plan.Download:
-		latest = gate.StartWithin(r.latencyTarget(rs), rs.record.Timeout, typical)
+	}
+	if rs.rule.Kind == plan.Download {
+		latest = max(latest, gate.LeastWait(rs.record.Timeout))
 	}
 	used := time.Since(rs.request.Arrived)
 	startWithin = max(latest-used, time.Microsecond)
@@ -273,9 +273,10 @@
 }
 
 // isOverdue reports whether a request can no longer meet its latency target, because its
-// caller spent the time on earlier attempts.
+// caller spent the time on earlier attempts. Downloads never count as overdue: their turn
+// on the network link decides how late they are.
 func (r *Router) isOverdue(rs *requestState, typical time.Duration) bool {
-	return r.latencyTarget(rs)-rs.elapsedBefore <= typical*overdueServiceTimePercent/100
+	return rs.rule.Kind != plan.Download && r.latencyTarget(rs)-rs.elapsedBefore <= typical*overdueServiceTimePercent/100
 }
 
 // distanceCosts returns the cost of distance for a request of the rule. Large
--- a/pkg/gate/patience.go
+++ b/pkg/gate/patience.go
@@ -22,11 +22,16 @@
 // let them: under overload, requests wait as long as they may.
 func StartWithin(target, timeout, typicalServiceTime time.Duration) time.Duration {
 	slack := max(target-typicalServiceTime, 0)
-	least := min(timeout*minQueuePercent/100, slack*waitSharePercent/100)
+	least := min(LeastWait(timeout), slack*waitSharePercent/100)
 	most := timeout * maxQueuePercent / 100
 	return min(most, max(target-slowServiceTimeTenths*typicalServiceTime/10, least))
 }
 
+// LeastWait returns how long a request that must not be refused early may wait.
+func LeastWait(timeout time.Duration) time.Duration {
+	return timeout * minQueuePercent / 100
+}
+
 // MaxWait returns how long a request may wait in any case.
 func MaxWait(timeout time.Duration) time.Duration {
 	return timeout * maxQueuePercent / 100
