--- a/internal/store/keyvalue.go
+++ b/internal/store/keyvalue.go
@@ -129,19 +129,25 @@
 	}
 	events = []Event{}
 	err = jscan.Array(orNull(response.Events), func(element []byte) error {
-		e := Event{Object: decodeElement(prefix, element, response.Next)}
-		var body struct {
-			Deleted bool `json:"deleted"`
-		}
-		if err := json.Unmarshal(element, &body); err == nil {
-			e.Deleted = body.Deleted
-		}
-		events = append(events, e)
+		events = append(events, decodeEvent(prefix, element, response.Next))
 		return nil
 	})
 	return events, response.Next, err
 }
 
+// decodeEvent decodes one event. One whose kind can't be decoded is malformed.
+func decodeEvent(prefix string, element []byte, revision uint64) Event {
+	var body struct {
+		Deleted bool `json:"deleted"`
+	}
+	event := Event{Object: decodeElement(prefix, element, revision)}
+	if err := json.Unmarshal(element, &body); err != nil {
+		event.Value, event.Malformed = nil, err
+	}
+	event.Deleted = body.Deleted && event.Malformed == nil
+	return event
+}
+
 // orNull returns a JSON null for a member that is missing.
 func orNull(value json.RawMessage) json.RawMessage {
 	if len(value) == 0 {
