--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -45,6 +45,9 @@
 	Node fleet.Node
 	// Version is the expected version of the object; zero if it must not exist.
 	Version uint64
+	// Revision is the revision up to which the objects are known, from which WatchObjects
+	// continues; zero if they must be listed first.
+	Revision uint64
 	// SlowRetry makes WatchObjects retry failures at longer intervals. It is set if
 	// only this proxy waits for the objects.
 	SlowRetry bool
@@ -57,6 +60,9 @@
 	Value   []byte
 	Version uint64
 	Deleted bool
+	// Malformed is why the object could not be decoded; nil if it was. Value is then
+	// empty, and so is Name if even that could not be decoded.
+	Malformed error
 }
 
 // ObjectEvent is a response of the platform.
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -29,8 +29,10 @@
 	maxSlowRetryDelay = 3 * time.Second
 	// writeTimeout limits one write or deletion.
 	writeTimeout = 700 * time.Millisecond
-	// listTimeout limits one list call.
-	listTimeout = 1500 * time.Millisecond
+	// listTimeout limits one list. It is long because the lists of many nodes share the
+	// link between two regions; the client ends a list that makes no progress much
+	// earlier.
+	listTimeout = 20 * time.Second
 	// recordWatchDelay is the delay between two watches of records. Several records
 	// that change together then cost each watching node one call.
 	recordWatchDelay = 250 * time.Millisecond
@@ -95,7 +97,7 @@
 		d.stopWatch(command.Kind)
 		ctx, cancel := context.WithCancel(d.ctx)
 		d.cancelWatch[command.Kind] = cancel
-		d.running.Go(func() { d.watchKind(ctx, command.Kind, newBackoff(command)) })
+		d.running.Go(func() { d.watchKind(ctx, command.Kind, command.Revision, newBackoff(command)) })
 	case cells.UnwatchObjects:
 		d.stopWatch(command.Kind)
 	default:
@@ -130,10 +132,11 @@
 }
 
 // watchKind posts all objects of a kind and then their changes until the context ends.
-// It lists the objects again only if the platform no longer has the history of changes
-// since the last event.
-func (d *Driver) watchKind(ctx context.Context, kind cells.ObjectKind, backoff store.Backoff) {
-	from, listed := uint64(0), false
+// If from is not zero, the objects are known up to that revision and are not listed. They
+// are listed again only if the platform no longer has the history of changes since the
+// last event.
+func (d *Driver) watchKind(ctx context.Context, kind cells.ObjectKind, from uint64, backoff store.Backoff) {
+	listed := from != 0
 	for ctx.Err() == nil {
 		var err error
 		changes := 0
@@ -207,7 +210,7 @@
 }
 
 func newObject(o store.Object, deleted bool) cells.Object {
-	return cells.Object{Name: o.Key[strings.IndexByte(o.Key, '/')+1:], Value: o.Value, Version: o.Version, Deleted: deleted}
+	return cells.Object{Name: o.Key[strings.IndexByte(o.Key, '/')+1:], Value: o.Value, Version: o.Version, Deleted: deleted, Malformed: o.Malformed}
 }
 
 // write executes a write command and posts its result.
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -17,6 +17,7 @@
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 	"arbutusstep.example/arbutusstep/pkg/plan"
@@ -29,6 +30,9 @@
 	// Ready returns a channel that is closed once the snapshot is complete enough to
 	// serve requests.
 	Ready() <-chan struct{}
+	// LastConfirmed returns the time at which the version in force was last known to be
+	// the newest; zero if it never was.
+	LastConfirmed(now time.Time) time.Time
 }
 
 // RemoteCaller sends calls to other nodes. Its errors are of type *peer.CallError.
@@ -81,9 +85,14 @@
 	// Service returns the service of the upstream of this node.
 	Service func() mesh.Service
 
+	// BodyMemory is the memory in bytes that the response bodies of all requests may
+	// use together; zero means DefaultBodyMemory.
+	BodyMemory int64
+
 	Picker   pick.Picker
 	Budget   retry.SharedBudget
 	timeouts timeoutTracker
+	bodies   bodyMemory
 
 	attemptCount atomic.Uint64
 }
@@ -113,6 +122,14 @@
 	fallback *front.Response
 }
 
+// setFallback replaces the fallback and releases the former one.
+func (rs *requestState) setFallback(response *front.Response) {
+	if rs.fallback != nil {
+		rs.fallback.Release()
+	}
+	rs.fallback = response
+}
+
 // Handle implements front.Handler.
 func (r *Router) Handle(ctx context.Context, request *front.Request) *front.Response {
 	rs := &requestState{request: request}
@@ -145,7 +162,7 @@
 	}
 	rule, found := rs.snapshot.Plan.Match(rs.request.Host, rs.request.Path)
 	if !found {
-		return r.localResponse(rs, http.StatusNotFound, ReasonNoRule, 0)
+		return r.noRuleResponse(rs)
 	}
 	rs.rule, rs.service = rule, rule.ChooseService(rand.Float64())
 	rs.record.Rule, rs.record.Service, rs.record.Rank = rule.Name, rs.service, rule.Rank
@@ -161,6 +178,17 @@
 	return r.runAttempts(ctx, rs)
 }
 
+// noRuleResponse returns the response to a request that no rule of the version in force
+// matches. While that may not be the newest version, the rule may exist, so the caller is
+// told to come back.
+func (r *Router) noRuleResponse(rs *requestState) *front.Response {
+	now := time.Now()
+	if now.Sub(r.Snapshots.LastConfirmed(now)) > maxVersionAge {
+		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonVersionUnconfirmed, noVersionRetryAfter)
+	}
+	return r.localResponse(rs, http.StatusNotFound, ReasonNoRule, 0)
+}
+
 // waitForSnapshot waits for the first version after the start of the node, but no
 // longer than a part of the caller's timeout.
 func (r *Router) waitForSnapshot(ctx context.Context, timeout time.Duration) {
@@ -197,9 +225,10 @@
 		response, callErr := r.attempt(ctx, rs, candidate, expected)
 		if callErr == nil {
 			if !r.shouldRetryResponse(rs, candidate.Host, response.Status) {
+				rs.setFallback(nil)
 				return r.replaceUnsafeStatus(rs, response)
 			}
-			rs.fallback = response
+			rs.setFallback(response)
 			continue
 		}
 		if !r.shouldTryAnother(ctx, rs, callErr) {
@@ -229,17 +258,27 @@
 	if typical == 0 {
 		typical = r.latencyTarget(rs) / unknownServiceTimeDivisor
 	}
-	latest := rs.record.Timeout * maxQueuePercent / 100
+	latest := gate.MaxWait(rs.record.Timeout)
 	// A large response that is late would delay others on the network link of its
 	// host, so downloads never wait longer.
-	if target := r.latencyTarget(rs) - rs.elapsedBefore; target > typical || rs.rule.Kind == plan.Download {
-		latest = min(latest, max(target-slowServiceTimeTenths*typical/10, rs.record.Timeout*minQueuePercent/100))
+	if !r.isOverdue(rs, typical) {
+		latest = gate.StartWithin(r.latencyTarget(rs)-rs.elapsedBefore, rs.record.Timeout, typical)
+	}
+	if rs.rule.Kind == plan.Download {
+		latest = max(latest, gate.LeastWait(rs.record.Timeout))
 	}
 	used := time.Since(rs.request.Arrived)
 	startWithin = max(latest-used, time.Microsecond)
 	return startWithin, max(rs.record.Timeout-reservedServiceTimes*typical-used, startWithin)
 }
 
+// isOverdue reports whether a request can no longer meet its latency target, because its
+// caller spent the time on earlier attempts. Downloads never count as overdue: their turn
+// on the network link decides how late they are.
+func (r *Router) isOverdue(rs *requestState, typical time.Duration) bool {
+	return rs.rule.Kind != plan.Download && r.latencyTarget(rs)-rs.elapsedBefore <= typical*overdueServiceTimePercent/100
+}
+
 // distanceCosts returns the cost of distance for a request of the rule. Large
 // responses are expensive to transfer, so nearby upstreams are preferred as long as
 // they are fast enough.
@@ -263,9 +302,9 @@
 	pending := r.Picker.BeginWithExpectedLatency(start, candidate.Host, expected, large)
 	var outcome pick.Outcome
 	reply, err := r.call(ctx, rs, candidate)
-	var body []byte
+	body := r.bodies.hold(r.BodyMemory)
 	if err == nil {
-		body, err = readBody(reply)
+		err = body.read(reply)
 	}
 	now := time.Now()
 	if err != nil {
@@ -290,11 +329,12 @@
 	}
 	r.recordAttempt(rs, Attempt{Host: candidate.Host, ExpectedLatency: expected}, start, reply, callErr)
 	if callErr != nil {
+		body.release()
 		return nil, callErr
 	}
 	rs.upstreamAttempts++
 	return &front.Response{
-		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body, Length: reply.Head.GetBodyLength(),
+		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body.data, Length: reply.Head.GetBodyLength(), Release: body.release,
 	}, nil
 }
 
@@ -310,8 +350,8 @@
 		Priority: uint32(priorityOf(rs.rule.Rank)), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: int64(len(rs.request.Body)),
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
-		TypicalMicros: typical.Microseconds(),
-		Attempt:       string(r.Host) + "-" + strconv.FormatUint(r.attemptCount.Add(1), 36),
+		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
+		Attempt: string(r.Host) + "-" + strconv.FormatUint(r.attemptCount.Add(1), 36),
 	}
 	call := &peer.Call{Head: head, CheckLiveness: len(rs.tried) > 1, Body: newBodyReader(rs.request.Body)}
 	if candidate.Host == r.Host {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,8 +43,12 @@
 	Key string
 	// Value is at most MaxValueSize bytes.
 	Value []byte
-	// Version is the store-wide revision of the last write to the object.
+	// Version is the store-wide revision of the last write to the object. If that can't
+	// be decoded, it is the revision of the response.
 	Version uint64
+	// Malformed is why a part of the object could not be decoded; nil if it was. Value
+	// is then empty. If even the name is unknown, Key is the prefix of the list or watch.
+	Malformed error
 }
 
 // Event describes a write to an object. Events may be delayed, duplicated or
@@ -68,7 +72,8 @@
 	Address netip.AddrPort
 	// Host identifies the calling host to the platform, in the User-Agent header.
 	Host mesh.HostID
-	// Timeout limits each call except a watch; zero means DefaultTimeout.
+	// Timeout limits the time in which nothing of the response to a call other than a
+	// watch arrives; zero means DefaultTimeout.
 	Timeout time.Duration
 	// WatchWait is how long the server may hold a watch open when there are no
 	// events; zero means DefaultWatchWait.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -16,6 +16,18 @@
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
+// Bounds of what a record or report may say. Larger values are errors of the writer.
+const (
+	// MaxSlots is the maximum number of slots of an upstream.
+	MaxSlots = 1 << 20
+	// MaxColdTime is the longest time for which an upstream may be slow after its start.
+	MaxColdTime = 24 * time.Hour
+	// MaxLinkRate is the maximum rate of a network link in bytes per second.
+	MaxLinkRate = 1 << 50
+	// MinPlatformRTT is the shortest known round-trip time to the platform.
+	MinPlatformRTT = 10 * time.Microsecond
+)
+
 // Node is the record that a node publishes about itself and the upstream next to it.
 type Node struct {
 	// Host is unique in the mesh.
@@ -84,8 +96,16 @@
 	if lowestRTT > 0 {
 		candidates = slices.DeleteFunc(candidates, func(n Node) bool { return n.PlatformRTT == 0 || n.PlatformRTT > lowestRTT+maxRTTSpread })
 	}
+	sortBySuitability(candidates)
+	return candidates[:min(count, len(candidates))]
+}
+
+// sortBySuitability sorts nodes by their suitability as readers: those with a fast link
+// first, because other nodes depend on them, and then in the order of rendezvous
+// hashing.
+func sortBySuitability(nodes []Node) {
 	highestRate := int64(0)
-	for _, n := range candidates {
+	for _, n := range nodes {
 		highestRate = max(highestRate, n.LinkRate)
 	}
 	linkRank := func(n Node) int {
@@ -94,10 +114,9 @@
 		}
 		return 1
 	}
-	slices.SortFunc(candidates, func(a, b Node) int {
+	slices.SortFunc(nodes, func(a, b Node) int {
 		return cmp.Or(cmp.Compare(linkRank(a), linkRank(b)), cmp.Compare(rendezvousWeight(b.Host), rendezvousWeight(a.Host)), cmp.Compare(a.Host, b.Host))
 	})
-	return candidates[:min(count, len(candidates))]
 }
 
 func rendezvousWeight(host mesh.HostID) uint64 {
