Pass over an odd head, and tell a late copy of an answer at a node

A response that repeats Arbutus-Attempt is now taken only by its own request, as X-Request-Id does for proxies. An upstream that doesn't repeat it is as before.

A configuration head that can't be decoded ended the watch, and each retry began with a list (TestOddHeadDoesNotEndTheWatch: 2 lists). It is reported and passed over.

--- a/internal/repo/repo.go
+++ b/internal/repo/repo.go
@@ -165,9 +165,7 @@
 	}
 	backoff.Reset()
 	for _, o := range objects {
-		if err = d.postHead(o); err != nil {
-			return err
-		}
+		d.postHead(o)
 	}
 	for {
 		events, next, err := d.objects.Watch(ctx, headKey, from)
@@ -176,26 +174,29 @@
 		}
 		from = next
 		for _, e := range events {
-			if e.Deleted || e.Key != headKey {
-				continue
-			}
-			if err = d.postHead(e.Object); err != nil {
-				return err
+			if !e.Deleted {
+				d.postHead(e.Object)
 			}
 		}
 	}
 }
 
-func (d *Driver) postHead(object store.Object) (err error) {
+// postHead posts a head. One that can't be decoded is reported and passed over, so that
+// the watch goes on to the next.
+func (d *Driver) postHead(object store.Object) {
 	if object.Key != headKey {
-		return nil
+		return
 	}
 	head, err := sheet.DecodeHead(object.Value)
+	if object.Malformed != nil {
+		err = object.Malformed
+	}
 	if err != nil {
-		return err
+		err = fmt.Errorf("configuration head: %w", err)
+		d.events.Post(cells.StoreEvent{Action: cells.WatchHead, Result: cells.StoreFailed, Err: err})
+		return
 	}
 	d.events.Post(cells.StoreEvent{Action: cells.WatchHead, Head: head})
-	return nil
 }
 
 // ReadChunks reads chunks by digest and returns them in the order of refs.
--- a/internal/repo/repo_test.go
+++ b/internal/repo/repo_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,3 +163,38 @@
 		}
 	}
 }
+
+// listCounter counts the lists of a client.
+type listCounter struct {
+	*store.Client
+	lists atomic.Int32
+}
+
+// List implements repo.Objects.
+func (l *listCounter) List(ctx context.Context, prefix string) ([]store.Object, uint64, error) {
+	l.lists.Add(1)
+	return l.Client.List(ctx, prefix)
+}
+
+// TestOddHeadDoesNotEndTheWatch has another writer replace the head by bytes that are
+// none. The watch must report it and go on to the next head.
+func TestOddHeadDoesNotEndTheWatch(t *testing.T) {
+	_, client := startPlatform(t)
+	configStore := repo.ConfigStore{Objects: client}
+	_, err := configStore.Submit(t.Context(), newChange("c1", 0, "timeout", "1s"))
+	assert.NilError(t, err)
+	good, err := client.Get(t.Context(), "config/head")
+	assert.NilError(t, err)
+	posted, objects := make(eventQueue, 16), &listCounter{Client: client}
+	driver := repo.NewDriver(objects, client, posted)
+	defer driver.Close()
+	driver.Handle(cells.StoreCommand{Action: cells.WatchHead})
+	assert.Equal(t, (<-posted).Head.Version, mesh.Version(1))
+	odd, err := client.Update(t.Context(), "config/head", []byte(strings.Repeat("[", 20_000)), good.Version)
+	assert.NilError(t, err)
+	assert.Equal(t, (<-posted).Result, cells.StoreFailed)
+	_, err = client.Update(t.Context(), "config/head", good.Value, odd.Version)
+	assert.NilError(t, err)
+	assert.Equal(t, (<-posted).Head.Version, mesh.Version(1))
+	assert.Equal(t, objects.lists.Load(), int32(1))
+}
--- a/internal/serve/headers.go
+++ b/internal/serve/headers.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// ParseResponse implements HeaderCodec.
+// ParseResponse implements HeaderCodec. The attempt identifies the request, if the
+// upstream repeats it.
 func (defaultCodec) ParseResponse(status int, header http.Header) ResponseInfo {
 	notRun := status == http.StatusServiceUnavailable && header.Get(HeaderOutcome) == peer.NotRun.String()
-	return ResponseInfo{NotRun: notRun, Authentic: true}
+	return ResponseInfo{RequestID: header.Get(HeaderAttempt), NotRun: notRun, Authentic: true}
 }
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -68,7 +69,8 @@
 	// sendBy is the time after which the request must not be sent; zero means no
 	// limit.
 	sendBy time.Time
-	// requestID identifies the request; empty if the caller gave none.
+	// requestID identifies the request: the ID that the caller gave it, or else its
+	// attempt.
 	requestID string
 	headers   HeaderCodec
 	// info is what the status and headers of the response say.
@@ -96,7 +98,7 @@
 		return response, false, err
 	}
 	x := &exchange{
-		pool: &u.pool, conn: c, body: call.Body, sendBy: sendBy, reusable: true, requestID: call.Head.GetId(), headers: u.headers,
+		pool: &u.pool, conn: c, body: call.Body, sendBy: sendBy, reusable: true, requestID: cmp.Or(call.Head.GetId(), call.Head.GetAttempt()), headers: u.headers,
 	}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	var httpResponse *http.Response
