Name what a newcomer would stumble on

The stand-in of an upstream repeats the attempt, as docs/INTERFACE.md asks. Comments on Freshness say what it tells; the readers assigned to a host are named so; a depth in a test is a number and not a duration. No behaviour of the proxy changes. Tests of the packages pass.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -64,7 +64,7 @@
 	ReadsPlatform board.Cell[bool]
 	// Tree determines which nodes receive versions and records from which others.
 	Tree board.Cell[*fleet.Tree]
-	// Freshness is until when this proxy's versions and records are known to be current.
+	// Freshness tells when this proxy's versions and records were last known to be current.
 	Freshness board.Cell[Freshness]
 	// ActiveVersion is the version in force.
 	ActiveVersion board.Cell[ActiveVersion]
@@ -152,7 +152,7 @@
 	RTT time.Duration
 }
 
-// Freshness is until when a proxy's data is known to be current.
+// Freshness tells when a proxy's data was last known to be current.
 type Freshness struct {
 	// Direct is true while the platform itself answers this proxy, which confirms its
 	// data continuously.
--- a/internal/ctrl/proxytree_test.go
+++ b/internal/ctrl/proxytree_test.go
@@ -34,13 +34,13 @@
 	return s
 }
 
-// failReaders applies the failure to the readers of a level, except for the roots if
-// the depth is not zero.
-func (s *sim) failReaders(depth time.Duration, place func(mesh.Place) bool, fail func(p *simProxy)) {
+// failReaders applies the failure to the readers of a level at the places. Those of depth
+// zero are the roots.
+func (s *sim) failReaders(depth int, place func(mesh.Place) bool, fail func(p *simProxy)) {
 	tree := s.proxies[0].cells.Tree.Load()
 	for _, p := range append([]*simProxy(nil), s.proxies...) {
 		self := p.cells.Self.Load()
-		level := (tree.Timeout(p.host, self.Place, false) - fleet.DetectionTime) / fleet.FailoverTime
+		level := int((tree.Timeout(p.host, self.Place, false) - fleet.DetectionTime) / fleet.FailoverTime)
 		isLevel := tree.IsReader(p.host) && !tree.IsRoot(p.host) && level == depth-1 || depth == 0 && tree.IsRoot(p.host)
 		if isLevel && place(self.Place) {
 			fail(p)
@@ -72,7 +72,7 @@
 		{name: "readers of all zones of a region killed", fail: func(s *sim) { s.failReaders(2, inEast, s.kill) }},
 		{name: "all readers powered off", fail: func(s *sim) {
 			for depth := range 3 {
-				s.failReaders(time.Duration(depth), anywhere, s.powerOff)
+				s.failReaders(depth, anywhere, s.powerOff)
 			}
 		}},
 	}
--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -274,7 +274,7 @@
 	return newest
 }
 
-// updateFreshness publishes until when this proxy's data is known to be current.
+// updateFreshness publishes when this proxy's data was last known to be current.
 func (s *sourceSelector) updateFreshness() {
 	next := cells.Freshness{Direct: s.watchesVersions && s.answered, ConfirmedAt: latest(s.Freshness.Get().ConfirmedAt, s.lastConfirmed()), Revision: s.revision}
 	if next != s.Freshness.Get() {
--- a/internal/fakeup/handler.go
+++ b/internal/fakeup/handler.go
@@ -68,6 +68,9 @@
 
 // serve acquires a slot, reads the body, runs the request and responds.
 func (u *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get(HeaderAttempt); attempt != "" {
+		w.Header().Set(HeaderAttempt, attempt)
+	}
 	ctx, cancel, filler, err := parseRequest(r)
 	if err != nil {
 		reject(w, http.StatusBadRequest, OutcomeNotRun, err.Error())
--- a/internal/fakeup/upstream_test.go
+++ b/internal/fakeup/upstream_test.go
@@ -272,3 +272,14 @@
 	assert.NilError(t, got.err)
 	assert.NilError(t, fakeup.VerifyResponse(strings.NewReader(got.body), "/", "", nil, 10))
 }
+
+func TestResponseRepeatsAttempt(t *testing.T) {
+	u := start(t, fakeup.Options{})
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+u.Addr().String()+"/", http.NoBody)
+	assert.NilError(t, err)
+	request.Header.Set(fakeup.HeaderAttempt, "a-1")
+	response, err := u.client.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.Header.Get(fakeup.HeaderAttempt), "a-1")
+}
--- a/pkg/fleet/tree.go
+++ b/pkg/fleet/tree.go
@@ -140,14 +140,14 @@
 		return regional
 	}
 	if zonal := t.zones[place]; len(zonal) > 0 {
-		return closest(host, zonal)
+		return assigned(host, zonal)
 	}
 	return regional
 }
 
-// closest returns the readers of a zone that serve a host, so that the hosts are spread
-// evenly over the readers.
-func closest(host mesh.HostID, readers []Node) []Node {
+// assigned returns the readers of a zone that serve a host. Rendezvous hashing spreads
+// the hosts evenly over the readers.
+func assigned(host mesh.HostID, readers []Node) []Node {
 	if len(readers) <= ParentCount {
 		return readers
 	}
