--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -279,9 +279,23 @@
 	}
 }
 
+// awaitRoute waits until the proxy's requests to the path are answered. Knowing all nodes
+// does not imply that their upstreams are known to be ready. It returns the number of
+// requests that the upstream ran by then.
+func (p *testProxy) awaitRoute(t *testing.T, path string, upstream *testProxy) (requests int) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, body := p.send(t, "probe", path); status != http.StatusOK {
+			return poll.Continue("status %d: %s", status, body)
+		}
+		return poll.Success()
+	}, pollTimeout)
+	return upstream.requestCount()
+}
+
 func TestDrainAnswersAcceptedRequests(t *testing.T) {
 	m := newMesh(t, "orders", "prints")
 	serving, stopped := m.proxies[0], m.proxies[1]
+	before := stopped.awaitRoute(t, "/o/x", serving)
 	hold := make(chan struct{})
 	serving.release.Store(&hold)
 	type response struct {
@@ -294,7 +308,7 @@
 		responses <- response{status, body}
 	}()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if serving.requestCount() == 1 {
+		if serving.requestCount() == before+1 {
 			return poll.Success()
 		}
 		return poll.Continue("the request has not started")
