Share what the change wrote twice, and start a body of unknown length small

The tests of the upstream's side had the same accept loop twice; serveConnections serves both, assertions as they were. gate.StartWithin computed MaxWait again, and fleet.Tree.choose what IsReader tells. A response of unknown length took a buffer of 256 KiB at once, also for a few bytes: the first is 16 KiB now, the next as before, and the shared limit counts it as it is.

--- a/internal/serve/endless_test.go
+++ b/internal/serve/endless_test.go
@@ -21,31 +21,19 @@
 // with prefix and then repeats part until the connection is closed. It returns the
 // number of bytes that it sent on each connection.
 func endlessUpstream(t *testing.T, prefix, part string) (address netip.AddrPort, sent <-chan int) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	counts := make(chan int, 1)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, _ = http.ReadRequest(bufio.NewReader(conn))
-				total, err := io.WriteString(conn, prefix)
-				block := strings.Repeat(part, 1+4096/len(part))
-				for err == nil {
-					var n int
-					n, err = io.WriteString(conn, block)
-					total += n
-				}
-				counts <- total
-			}()
+	address = serveConnections(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		total, err := io.WriteString(conn, prefix)
+		block := strings.Repeat(part, 1+4096/len(part))
+		for err == nil {
+			var n int
+			n, err = io.WriteString(conn, block)
+			total += n
 		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String()), counts
+		counts <- total
+	})
+	return address, counts
 }
 
 // TestEndlessBytesEndTheExchange has an upstream send bytes without end where a response
--- a/internal/serve/headers_test.go
+++ b/internal/serve/headers_test.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// scriptedUpstream starts an upstream that sends the next of the responses to each
-// request of a connection and closes the connection after the last one.
-func scriptedUpstream(t *testing.T, responses ...string) netip.AddrPort {
+// serveConnections accepts connections on a free port and serves each of them, until the
+// end of the test.
+func serveConnections(t *testing.T, serve func(conn net.Conn, reader *bufio.Reader)) netip.AddrPort {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -46,21 +46,28 @@
 			}
 			go func() {
 				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for _, response := range responses {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, response)
-				}
+				serve(conn, bufio.NewReader(conn))
 			}()
 		}
 	}()
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// scriptedUpstream starts an upstream that sends the next of the responses to each
+// request of a connection and closes the connection after the last one.
+func scriptedUpstream(t *testing.T, responses ...string) netip.AddrPort {
+	return serveConnections(t, func(conn net.Conn, reader *bufio.Reader) {
+		for _, response := range responses {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, response)
+		}
+	})
+}
+
 // rawResponse returns a response to the request with the ID.
 func rawResponse(id, signature, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSignature: %s\r\nContent-Length: %d\r\n\r\n%s", id, signature, len(body), body)
--- a/internal/steer/bodies.go
+++ b/internal/steer/bodies.go
@@ -18,6 +18,8 @@
 	// before the one before is full, as the length that an upstream announces proves
 	// nothing.
 	segmentBytes = 256 << 10
+	// firstSegmentBytes is the size of the first buffer for a body of unknown length.
+	firstSegmentBytes = 16 << 10
 )
 
 // errBodyMemory means that a response body was dropped because the bodies of all
@@ -90,7 +92,7 @@
 	if length > maxResponseBytes {
 		return fmt.Errorf("response of %d bytes exceeds the limit of %d", length, maxResponseBytes)
 	}
-	size := int64(segmentBytes)
+	size := int64(firstSegmentBytes)
 	if length >= 0 {
 		// One byte more than the length, so that the end is read as well.
 		size = min(length+1, segmentBytes)
--- a/pkg/fleet/tree.go
+++ b/pkg/fleet/tree.go
@@ -99,10 +99,7 @@
 // choose returns up to count nodes that are no readers yet, those with a fast link
 // first, and makes them readers of that depth.
 func (t *Tree) choose(nodes []Node, count, depth int) (readers []Node) {
-	free := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool {
-		_, isReader := t.depths[n.Host]
-		return isReader
-	})
+	free := slices.DeleteFunc(slices.Clone(nodes), func(n Node) bool { return t.IsReader(n.Host) })
 	sortBySuitability(free)
 	readers = free[:min(count, len(free))]
 	for _, r := range readers {
--- a/pkg/gate/patience.go
+++ b/pkg/gate/patience.go
@@ -23,8 +23,7 @@
 func StartWithin(target, timeout, typicalServiceTime time.Duration) time.Duration {
 	slack := max(target-typicalServiceTime, 0)
 	least := min(LeastWait(timeout), slack*waitSharePercent/100)
-	most := timeout * maxQueuePercent / 100
-	return min(most, max(target-slowServiceTimeTenths*typicalServiceTime/10, least))
+	return min(MaxWait(timeout), max(target-slowServiceTimeTenths*typicalServiceTime/10, least))
 }
 
 // LeastWait returns how long a request that must not be refused early may wait.
