--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the review's scripts.
+set -e
+cd "$(dirname "$0")/standin"
+GOFLAGS= GOTOOLCHAIN=local go build -o ../bin/standin .
