--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,6 @@
 // cases play a case and report whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool){
 	"extra":  playExtra,
-	"unread": playUnread,
 	"upload": playUpload,
+	"freeze": playFreeze,
 }
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -73,7 +73,7 @@
 	count, lost := 0, 0
 	for i, m := range f.machines {
 		watchers.Go(func() { m.enforceMemory(stop, &ends[i], &most[i]) })
-		for range 3 {
+		for range 4 {
 			group.Go(func() {
 				for time.Now().Before(end) {
 					c := &client{record: f.record, address: m.callers}
