--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -48,12 +48,20 @@
 	lastPort  = 32000
 )
 
-// freeAddress returns a free loopback address.
+// usedPorts holds the ports that were given out.
+var usedPorts = make(map[int]bool)
+
+// freeAddress returns a free loopback address. It never returns one twice.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if usedPorts[port] {
+			continue
+		}
 		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
+			usedPorts[port] = true
 			return address
 		}
 	}
@@ -176,6 +184,8 @@
 type rule struct {
 	name, kind, prefix, service, target, timeout string
 	priority, attempts                           int
+	// split, if set, takes the place of service.
+	split []map[string]any
 }
 
 const host = "ficu95.example"
@@ -183,9 +193,14 @@
 func (f *fleet) writeConfig(version int, rules []rule, services ...string) {
 	var set, clusters []map[string]any
 	for _, r := range rules {
+		action := map[string]any{"timeout": r.timeout, "max_attempts": r.attempts}
+		if r.split != nil {
+			action["split"] = r.split
+		} else {
+			action["service"] = r.service
+		}
 		set = append(set, map[string]any{
-			"name": r.name, "kind": r.kind, "target_latency": r.target, "priority": r.priority, "match": map[string]any{"path_prefix": r.prefix},
-			"action": map[string]any{"service": r.service, "timeout": r.timeout, "max_attempts": r.attempts},
+			"name": r.name, "kind": r.kind, "target_latency": r.target, "priority": r.priority, "match": map[string]any{"path_prefix": r.prefix}, "action": action,
 		})
 	}
 	for _, s := range services {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,8 @@
 
 // cases play a case and report whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool){
-	"extra":  playExtra,
-	"upload": playUpload,
-	"freeze": playFreeze,
+	"extra":   playExtra,
+	"upload":  playUpload,
+	"freeze":  playFreeze,
+	"weights": playWeights,
 }
