--- a/review/standin/freeze.go
+++ b/review/standin/freeze.go
@@ -20,8 +20,8 @@
 			service = "druck1"
 		}
 		m := f.add(service, 9)
-		m.server.size = func(string) int { return 90000 + rand.IntN(450000) }
-		m.server.work = func(string) time.Duration { return 100 * time.Millisecond }
+		m.server.size = func(string) int { return 200000 + rand.IntN(340000) }
+		m.server.work = func(string) time.Duration { return 80 * time.Millisecond }
 	}
 	f.waitReady()
 	near, far := f.machines[0], f.machines[4]
@@ -38,9 +38,9 @@
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	var all []*request
-	for i := range 20 {
+	for i := range 18 {
 		m := near
-		if i >= 14 {
+		if i >= 12 {
 			m = far
 		}
 		group.Go(func() {
@@ -54,7 +54,11 @@
 					all = append(all, q)
 					mutex.Unlock()
 				}
-				time.Sleep(time.Duration(rand.IntN(300)) * time.Millisecond)
+				pause := 300
+				if m == far {
+					pause = 150
+				}
+				time.Sleep(time.Duration(rand.IntN(pause)) * time.Millisecond)
 			}
 		})
 	}
