--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the review's scripts.
 set -e
 cd "$(dirname "$0")/standin"
-GOFLAGS= GOTOOLCHAIN=local go build -o ../bin/standin .
+GOFLAGS=-buildvcs=false GOTOOLCHAIN=local go build -o ../bin/standin .
