Give the turn on a host's link back while its receiver accepts no data

Cause: the large message whose turn it was on the host's link kept the turn while the write of a part blocked. All others waited, and responses to callers waited with the context of their connection, which has no deadline.

Change: a message whose write blocks for 10 ms loses its turn, gives it up before each later write, and isn't counted as pending meanwhile. A response that still waits for others when its request times out is sent at once. The gauge link_stalls counts lost turns.

--- a/internal/egress/link_test.go
+++ b/internal/egress/link_test.go
@@ -114,3 +114,129 @@
 		})
 	}
 }
+
+// slowReceiver accepts a part each period, after it has accepted none until resume.
+type slowReceiver struct {
+	link   *egress.Link
+	resume <-chan struct{}
+	period time.Duration
+	sent   int
+}
+
+func (r *slowReceiver) write(part []byte) error {
+	<-r.resume
+	time.Sleep(r.period)
+	r.link.BytesWritten(len(part))
+	r.sent += len(part)
+	return nil
+}
+
+// TestStalledReceiverDelaysNoOtherTransfer guards against a transfer that keeps its turn
+// on the link while its receiver accepts no data, or accepts it slowly: the messages for
+// everybody else waited behind it.
+func TestStalledReceiverDelaysNoOtherTransfer(t *testing.T) {
+	const (
+		bodyBytes = 100_000
+		others    = 5
+		// timeForOthers is what the others need at the rate of the link, and a tenth more.
+		timeForOthers = others * bodyBytes * time.Second / linkRate * 11 / 10
+		// stallTimeouts is what the slow receivers may cost the others together.
+		stallTimeouts = 50 * time.Millisecond
+	)
+	tests := []struct {
+		name string
+		// receivers is the number of transfers whose receiver takes period for a part.
+		receivers int
+		period    time.Duration
+		standing  bool
+	}{
+		{name: "one stands still", receivers: 1, standing: true},
+		{name: "two stand still", receivers: 2, standing: true},
+		{name: "one reads at a tenth of the rate", receivers: 1, period: 160 * time.Millisecond},
+		{name: "two read at a tenth of the rate after a standstill", receivers: 2, period: 160 * time.Millisecond, standing: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &egress.Link{}
+				l.SetRate(linkRate)
+				body := make([]byte, bodyBytes)
+				resume := make(chan struct{})
+				if !tt.standing {
+					close(resume)
+				}
+				slow := make([]slowReceiver, tt.receivers)
+				slowEnded := make(chan error, tt.receivers)
+				for i := range slow {
+					slow[i] = slowReceiver{link: l, resume: resume, period: tt.period}
+					go func() { slowEnded <- l.Reserve().Send(t.Context(), body, slow[i].write) }()
+				}
+				// A later message of the same size is sent after those that came before.
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+				start := time.Now()
+				ended := make(chan error, others)
+				sent := make([]bytes.Buffer, others)
+				for i := range others {
+					go func() { ended <- l.Reserve().Send(t.Context(), body, newCountingWriter(l, &sent[i])) }()
+				}
+				for range others {
+					assert.NilError(t, <-ended)
+				}
+				assert.Assert(t, time.Since(start) <= timeForOthers+stallTimeouts, "%v", time.Since(start))
+				if tt.standing {
+					assert.Equal(t, l.ExpectedWait(), time.Duration(0), "a stalled transfer counts as pending")
+					close(resume)
+				}
+				for range slow {
+					assert.NilError(t, <-slowEnded)
+				}
+				for i := range slow {
+					assert.Equal(t, slow[i].sent, bodyBytes)
+				}
+				assert.Equal(t, l.Stalls(), uint64(tt.receivers))
+				assert.Equal(t, l.ExpectedWait(), time.Duration(0))
+			})
+		})
+	}
+}
+
+// TestMessageIsSentWhenDue guards against an answer that waits for its turn on the link
+// beyond the timeout of its request.
+func TestMessageIsSentWhenDue(t *testing.T) {
+	tests := []struct {
+		name string
+		// due is when the message is due; zero means never.
+		due  time.Duration
+		want time.Duration
+	}{
+		{name: "due while another message is sent", due: 300 * time.Millisecond, want: 300 * time.Millisecond},
+		{name: "due after its turn", due: 5 * time.Second, want: 998 * time.Millisecond},
+		{name: "never due", want: 998 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := &egress.Link{}
+				l.SetRate(linkRate)
+				var first, second bytes.Buffer
+				ended := make(chan error, 1)
+				go func() { ended <- l.Reserve().Send(t.Context(), make([]byte, 1_000_000), newCountingWriter(l, &first)) }()
+				synctest.Wait()
+				start, sendBy := time.Now(), time.Time{}
+				if tt.due > 0 {
+					sendBy = start.Add(tt.due)
+				}
+				// The second message is the longer one, so its turn comes last.
+				assert.NilError(t, l.ReserveUntil(sendBy).Send(t.Context(), make([]byte, 1_100_000), func(part []byte) error {
+					if second.Len() == 0 {
+						assert.Check(t, (time.Since(start)-tt.want).Abs() < 20*time.Millisecond, "started after %v", time.Since(start))
+					}
+					return newCountingWriter(l, &second)(part)
+				}))
+				assert.NilError(t, <-ended)
+				assert.Equal(t, second.Len(), 1_100_000)
+			})
+		})
+	}
+}
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -342,7 +342,7 @@
 	if c.server.Link == nil || len(data) <= egress.LargeMessageBytes {
 		return write(data)
 	}
-	return c.server.Link.Reserve().Send(c.ctx, data, write)
+	return c.server.Link.ReserveUntil(e.response.SendBy).Send(c.ctx, data, write)
 }
 
 // pendingRequests returns the number of requests without a response.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -99,6 +99,9 @@
 	Body    []byte
 	// Length is the Content-Length of the response to a HEAD request; -1 if unknown.
 	Length int64
+	// SendBy is when the response stops waiting for the large responses of others; zero
+	// means never.
+	SendBy time.Time
 	// Release is called once the body is not used any more; nil if nothing is to be
 	// done then.
 	Release func()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"arbutusstep.example/arbutusstep/internal/egress"
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/wire"
 )
@@ -221,3 +222,34 @@
 	response, _ := readResponse(t, reader)
 	assert.Assert(t, response.Close)
 }
+
+// largeHandler responds with a body that is scheduled on the network link, due after a
+// given time.
+type largeHandler struct{ due time.Duration }
+
+// Handle implements front.Handler.
+func (h largeHandler) Handle(context.Context, *front.Request) *front.Response {
+	body := make([]byte, 2*egress.LargeMessageBytes)
+	return &front.Response{Status: http.StatusOK, Body: body, Length: int64(len(body)), SendBy: time.Now().Add(h.due)}
+}
+
+// HandleMalformed implements front.Handler.
+func (h largeHandler) HandleMalformed(status int, _ string) *front.Response {
+	return &front.Response{Status: status}
+}
+
+// TestLargeResponseIsSentWhenDue guards against a response that waits for the network
+// link beyond the timeout of its request.
+func TestLargeResponseIsSentWhenDue(t *testing.T) {
+	// The counted bytes keep the link busy for hours.
+	link := &egress.Link{}
+	link.SetRate(1)
+	link.BytesWritten(1 << 20)
+	dial := startServer(t, &front.Server{Handler: largeHandler{due: 100 * time.Millisecond}, Link: link})
+	conn, reader := dial()
+	_, err := io.WriteString(conn, getRequest("/large"))
+	assert.NilError(t, err)
+	response, body := readResponse(t, reader)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, len(body), 2*egress.LargeMessageBytes)
+}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -133,6 +133,7 @@
 		{"calls_not_run", float64(counters.NotRun.Load())},
 		{"calls_unknown", float64(counters.Unknown.Load())},
 		{"calls_cut", float64(counters.Truncated.Load())},
+		{"link_stalls", float64(p.egressLink.Stalls())},
 		{"sessions_accepted", float64(sessions.Sessions)},
 		{"platform_calls", float64(p.store.Calls())},
 		{"requests_unanswered", float64(p.front.PendingRequests())},
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -135,6 +135,7 @@
 	rs := &requestState{request: request}
 	rs.record = RequestRecord{ID: r.Headers.RequestID(request.HeaderValue), Method: request.Method, Host: request.Host, Path: request.Path, Arrived: request.Arrived}
 	response := r.route(ctx, rs)
+	response.SendBy = rs.deadline
 	rs.record.Status, rs.record.Duration = response.Status, time.Since(request.Arrived)
 	rs.record.Canceled = ctx.Err() != nil
 	r.Recorder.Record(rs.record)
--- a/pkg/link/pacer.go
+++ b/pkg/link/pacer.go
@@ -29,7 +29,7 @@
 	// transfers are the enqueued long messages in the order of sending.
 	transfers []*Transfer
 	// pendingBytes is the sum of remaining over all transfers, reserved ones
-	// included.
+	// included and suspended ones not.
 	pendingBytes int64
 }
 
@@ -43,6 +43,8 @@
 	// to itself. Transfers are sent in this order, so that a small message does not
 	// wait for a large one that came shortly before.
 	virtualFinish time.Time
+	// suspended is true between Suspend and Resume.
+	suspended bool
 }
 
 // SetRate sets the rate in bytes per second; 0 means no limit.
@@ -82,6 +84,10 @@
 	p.pendingBytes += bytes - t.remaining
 	t.remaining = bytes
 	t.virtualFinish = now.Add(p.transferTime(bytes))
+	p.insert(t)
+}
+
+func (p *Pacer) insert(t *Transfer) {
 	index, _ := slices.BinarySearchFunc(p.transfers, t.virtualFinish, func(o *Transfer, virtualFinish time.Time) int { return o.virtualFinish.Compare(virtualFinish) })
 	p.transfers = slices.Insert(p.transfers, index, t)
 }
@@ -101,6 +107,27 @@
 	return time.Duration(-p.credit/p.rate*float64(time.Second)) - maxBacklog
 }
 
+// Suspend takes an enqueued transfer out of the order of sending while its receiver
+// accepts no data. Until Resume, other messages neither wait for it nor count it.
+func (p *Pacer) Suspend(t *Transfer) {
+	if t.suspended {
+		return
+	}
+	t.suspended = true
+	p.pendingBytes -= t.remaining
+	p.dequeue(t)
+}
+
+// Resume puts a suspended transfer back to its place in the order of sending.
+func (p *Pacer) Resume(t *Transfer) {
+	if !t.suspended {
+		return
+	}
+	t.suspended = false
+	p.pendingBytes += t.remaining
+	p.insert(t)
+}
+
 // RecordProgress records that a part of the message was sent.
 func (p *Pacer) RecordProgress(t *Transfer, bytes int64) {
 	sent := min(bytes, t.remaining)
@@ -110,8 +137,14 @@
 
 // Remove removes a transfer, whether or not it was sent completely.
 func (p *Pacer) Remove(t *Transfer) {
-	p.pendingBytes -= t.remaining
-	t.remaining = 0
+	if !t.suspended {
+		p.pendingBytes -= t.remaining
+	}
+	t.remaining, t.suspended = 0, false
+	p.dequeue(t)
+}
+
+func (p *Pacer) dequeue(t *Transfer) {
 	if index := slices.Index(p.transfers, t); index >= 0 {
 		p.transfers = slices.Delete(p.transfers, index, index+1)
 	}
