Apply versions in which a service has weight zero

Nothing published excludes that weight, and what the store has accepted is authoritative.

A service with weight zero gets no requests; if all are zero, the rule's requests are refused with 503. The refused version is named by the log and the status, and a gauge shows that one is refused.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -184,6 +184,8 @@
 	Source mesh.HostID
 	// RefusalReason is why the newest document was refused; empty if it was not.
 	RefusalReason string
+	// RefusedVersion is the version of the refused document; zero if it is unknown.
+	RefusedVersion mesh.Version
 }
 
 // ProxySnapshot is the state that traffic threads read. It is immutable.
--- a/internal/ctrl/versionapplier.go
+++ b/internal/ctrl/versionapplier.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 	"arbutusstep.example/arbutusstep/internal/ctlmsg"
 	"arbutusstep.example/arbutusstep/pkg/board"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/plan"
 )
 
 // documentName is the name of the object that contains the operator's document.
@@ -85,9 +87,13 @@
 	decoded, err := v.codec.DecodePlan(document)
 	if err != nil {
 		if active.RefusalReason != err.Error() {
-			active.RefusalReason = err.Error()
+			active.RefusalReason, active.RefusedVersion = err.Error(), 0
+			var invalid *plan.InvalidError
+			if errors.As(err, &invalid) {
+				active.RefusedVersion = invalid.Version
+			}
 			v.ActiveVersion.Set(active)
-			v.log("versionRefused", 0, source, err)
+			v.log("versionRefused", active.RefusedVersion, source, err)
 		}
 		return false
 	}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -95,6 +95,7 @@
 	Since             time.Time    `json:"since"`
 	Source            mesh.HostID  `json:"from,omitempty"`
 	Reason            string       `json:"reason,omitempty"`
+	RefusedVersion    mesh.Version `json:"refused,omitempty"`
 	ReadsPlatform     bool         `json:"reading"`
 	PlatformReachable bool         `json:"reached"`
 	Nodes             int          `json:"nodes"`
@@ -111,7 +112,7 @@
 	active, snapshot, load := p.cells.ActiveVersion.Load(), p.cells.Snapshot.Load(), p.gate.Load()
 	return Status{
 		Host: p.settings.Load().Host, Phase: string(p.cells.Phase.Load()), Version: active.Plan.Version(), Since: active.Since,
-		Source: active.Source, Reason: active.RefusalReason, ReadsPlatform: p.cells.ReadsPlatform.Load(), PlatformReachable: p.cells.PlatformStatus.Load().Reachable,
+		Source: active.Source, Reason: active.RefusalReason, RefusedVersion: active.RefusedVersion, ReadsPlatform: p.cells.ReadsPlatform.Load(), PlatformReachable: p.cells.PlatformStatus.Load().Reachable,
 		Nodes: snapshot.NodeCount, Upstream: snapshot.LocalUpstream.Instance, State: snapshot.LocalUpstream.State.String(),
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Unanswered: p.front.PendingRequests(),
 	}
@@ -126,6 +127,7 @@
 		value float64
 	}{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
+		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
@@ -143,3 +145,11 @@
 		p.metrics.Scope.Gauge(g.name).Update(g.value)
 	}
 }
+
+// asNumber returns 1 for true and 0 for false.
+func asNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -28,8 +28,10 @@
 	// may not be the newest.
 	ReasonVersionUnconfirmed = "version-unconfirmed"
 	ReasonBadHeader          = "bad-header"
-	ReasonNoUpstreams        = "no-upstreams"
-	ReasonDeadline           = "deadline"
+	// ReasonNoService means that all services of the rule have weight zero.
+	ReasonNoService   = "no-service"
+	ReasonNoUpstreams = "no-upstreams"
+	ReasonDeadline    = "deadline"
 	// ReasonUnsafeStatus replaces an upstream's status that would tell the caller that
 	// the request did not run.
 	ReasonUnsafeStatus = "upstream-promise"
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -165,8 +165,11 @@
 	if !found {
 		return r.noRuleResponse(rs)
 	}
-	rs.rule, rs.service = rule, rule.ChooseService(rand.Float64())
-	rs.record.Rule, rs.record.Service, rs.record.Rank = rule.Name, rs.service, rule.Rank
+	rs.rule, rs.record.Rule, rs.record.Rank = rule, rule.Name, rule.Rank
+	if rs.service, found = rule.ChooseService(rand.Float64()); !found {
+		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonNoService, noVersionRetryAfter)
+	}
+	rs.record.Service = rs.service
 	rs.elapsedBefore = r.timeouts.elapsed(rule.Name, timeout)
 	if timeout == 0 || timeout > rule.Timeout {
 		timeout = rule.Timeout
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -230,6 +230,42 @@
 	}
 }
 
+// TestServiceWithWeightZeroGetsNoRequests guards against requests for a service that
+// operators have taken out of a rule, and against a version that is only applied once that
+// service has upstreams.
+func TestServiceWithWeightZeroGetsNoRequests(t *testing.T) {
+	tests := []struct {
+		name string
+		// former and orders are the weights of a service without upstreams and of one
+		// with upstreams.
+		former, orders float64
+		status         int
+		reason         string
+		retry          bool
+	}{
+		{name: "moved to another service", orders: 100, status: http.StatusOK},
+		{name: "all weights are zero", status: http.StatusServiceUnavailable, reason: steer.ReasonNoService, retry: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &scriptedCaller{results: []callResult{{status: http.StatusOK}}}
+			router, recorded := newRouter(t, plan.Idempotent, 1, s)
+			snapshot := router.Snapshots.(fixedSnapshot)
+			var err error
+			snapshot.snapshot.Plan, err = plan.New(6, plan.Limits{}, []plan.Service{{Name: "orders"}, {Name: "former"}}, []*plan.Rule{{
+				Name: "r", Host: "a.example", Prefix: "/o/", Timeout: 200 * time.Millisecond, MaxAttempts: 1,
+				Services: []plan.WeightedService{{Service: "former", Weight: tt.former}, {Service: "orders", Weight: tt.orders}},
+			}})
+			assert.NilError(t, err)
+			router.Snapshots = snapshot
+			response := router.Handle(t.Context(), newRequest("/o/x", nil))
+			assert.Equal(t, response.Status, tt.status)
+			assert.Equal(t, recorded.last.Reason, tt.reason)
+			assert.Equal(t, recorded.last.RetryAfter > 0, tt.retry)
+		})
+	}
+}
+
 // delayedSnapshot has an empty snapshot until it is ready.
 type delayedSnapshot struct {
 	steer.SnapshotSource
