End a request at its timeout while its call is blocked

Cause: a write to a session waits for its connection, and a read for the rest of a frame; neither ends with the context of the call. A trial with a peer that never reads: calls with a deadline of 100 ms returned after 0.80 s (a call without a body on a session filled before) and 0.90 s (16 MiB, twice), when the ping had closed the session.

Change: the router makes a call in a goroutine of its own, leaves it 100 ms after the end of its context, and reports its outcome as unknown. The call ends in the background and returns its memory then.

--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -305,11 +305,7 @@
 	large := rs.rule.Kind == plan.Download
 	pending := r.Picker.BeginWithExpectedLatency(start, candidate.Host, expected, large)
 	var outcome pick.Outcome
-	reply, err := r.call(ctx, rs, candidate)
-	body := r.bodies.hold(r.BodyMemory)
-	if err == nil {
-		err = body.read(reply)
-	}
+	reply, body, err := r.fetch(ctx, r.newCall(rs), candidate)
 	now := time.Now()
 	if err != nil {
 		callErr = toCallError(err)
@@ -333,7 +329,6 @@
 	}
 	r.recordAttempt(rs, Attempt{Host: candidate.Host, ExpectedLatency: expected}, start, reply, callErr)
 	if callErr != nil {
-		body.release()
 		return nil, callErr
 	}
 	rs.upstreamAttempts++
@@ -346,7 +341,8 @@
 	return time.Duration(n) * time.Microsecond
 }
 
-func (r *Router) call(ctx context.Context, rs *requestState, candidate pick.Candidate) (reply *peer.Reply, err error) {
+// newCall returns the call for the next attempt at a request.
+func (r *Router) newCall(rs *requestState) *peer.Call {
 	typical := r.Picker.TypicalServiceTime(rs.rule.Name)
 	startWithin, maxWait := r.queueLimits(rs, typical)
 	head := &wire.CallHead{
@@ -357,11 +353,7 @@
 		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
 		Attempt: string(r.Host) + "-" + strconv.FormatUint(r.attemptCount.Add(1), 36),
 	}
-	call := &peer.Call{Head: head, CheckLiveness: len(rs.tried) > 1, Body: newBodyReader(rs.request.Body)}
-	if candidate.Host == r.Host {
-		return r.Local.Call(ctx, call)
-	}
-	return r.Remote.Call(ctx, candidate.Node, call)
+	return &peer.Call{Head: head, CheckLiveness: len(rs.tried) > 1, Body: newBodyReader(rs.request.Body)}
 }
 
 // upstreamHeaders returns the headers that are sent to the upstream.
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -380,6 +380,59 @@
 	assert.Assert(t, head.GetStartWithinMicros() > 0)
 }
 
+// blockedCaller makes calls that ignore their context until release is closed, as those on
+// a session whose connection accepts no data.
+type blockedCaller struct {
+	release chan struct{}
+	// inBody is true if the body of the reply is blocked instead of the call.
+	inBody bool
+}
+
+// Call implements steer.RemoteCaller.
+func (c blockedCaller) Call(context.Context, netip.AddrPort, *peer.Call) (*peer.Reply, error) {
+	if !c.inBody {
+		<-c.release
+	}
+	return &peer.Reply{Head: &wire.ReplyHead{Status: http.StatusOK}, Body: io.NopCloser(c)}, nil
+}
+
+// Read implements io.Reader.
+func (c blockedCaller) Read([]byte) (n int, err error) {
+	<-c.release
+	return 0, io.EOF
+}
+
+// TestRequestEndsAtItsTimeoutWhileItsCallIsBlocked guards against a request without a final
+// answer while the proxy that it was sent to accepts no data.
+func TestRequestEndsAtItsTimeoutWhileItsCallIsBlocked(t *testing.T) {
+	const timeout, margin = 200 * time.Millisecond, 200 * time.Millisecond
+	tests := []struct {
+		name   string
+		kind   plan.Kind
+		inBody bool
+	}{
+		{name: "call", kind: plan.Idempotent},
+		{name: "call that may run once", kind: plan.AtMostOnce},
+		{name: "body of the reply", kind: plan.Download, inBody: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				router, _ := newRouter(t, tt.kind, 2, &scriptedCaller{})
+				blocked := blockedCaller{release: make(chan struct{}), inBody: tt.inBody}
+				router.Remote = blocked
+				request := newRequest("/o/x", nil)
+				request.Arrived = time.Now()
+				response := router.Handle(t.Context(), request)
+				assert.Equal(t, response.Status, http.StatusGatewayTimeout)
+				took := time.Since(request.Arrived)
+				assert.Assert(t, took >= timeout && took <= timeout+margin, "%v", took)
+				close(blocked.release)
+			})
+		})
+	}
+}
+
 func TestCallIsCanceledWhenCallerDisconnects(t *testing.T) {
 	s := &scriptedCaller{results: []callResult{{hangs: true}}}
 	router, recorded := newRouter(t, plan.Idempotent, 2, s)
