Let the bodies of all requests share the memory of the process

Cause: responses held for callers shared a budget, but request bodies did not and were in memory twice, and large responses that waited for the link were kept without a common bound.

Change: one budget (internal/quota) for all three. A request body is read in segments.

--- a/internal/cmds/proxy.go
+++ b/internal/cmds/proxy.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return &inputError{err: err}
 	}
-	debug.SetMemoryLimit(settings.Limits.Memory)
+	debug.SetMemoryLimit(settings.Limits.HeapBytes())
 	logWriter := newLogWriter(c.out)
 	defer func() { err = errors.Join(err, logWriter.Close()) }()
 	logger := newLogger(logWriter, settings.Log).With().Str("host", string(settings.Host)).Logger()
--- a/internal/conf/proxy.go
+++ b/internal/conf/proxy.go
@@ -60,8 +60,11 @@
 
 // ProxyLimits holds the resource limits of a proxy.
 type ProxyLimits struct {
-	// Memory is the soft memory limit of the Go runtime in bytes.
+	// Memory is the soft memory limit of the Go runtime in bytes, unless Process is set.
 	Memory int64 `yaml:"memory" validate:"min=16777216,max=1099511627776"`
+	// Process is the memory in megabytes with which the platform ends the process; zero
+	// if it is not known.
+	Process int64 `yaml:"process" validate:"min=0,max=1048576"`
 	// PlatformRate is the number of calls per second to the platform.
 	PlatformRate float64 `yaml:"platformRate" validate:"min=0.1,max=1000"`
 	// Link is the rate of the host's network link in megabits per second; zero if it
@@ -69,6 +72,33 @@
 	Link float64 `yaml:"link" validate:"min=0,max=1000000"`
 }
 
+const (
+	bytesPerMegabyte = 1_000_000
+	// heapPercent and bodyPercent are the parts of the memory of the process, in percent,
+	// for the heap and for the bodies of requests and responses in it.
+	heapPercent = 70
+	bodyPercent = 40
+	// bodyHeapPercent is the part of the heap for bodies if the memory of the process is
+	// not known.
+	bodyHeapPercent = 50
+)
+
+// HeapBytes returns the soft memory limit of the Go runtime.
+func (l ProxyLimits) HeapBytes() int64 {
+	if l.Process == 0 {
+		return l.Memory
+	}
+	return l.Process * bytesPerMegabyte * heapPercent / 100
+}
+
+// BodyBytes returns the memory that the bodies of all requests and responses may use.
+func (l ProxyLimits) BodyBytes() int64 {
+	if l.Process == 0 {
+		return l.Memory * bodyHeapPercent / 100
+	}
+	return l.Process * bytesPerMegabyte * bodyPercent / 100
+}
+
 // DefaultProxy returns the settings that apply unless the file sets them.
 func DefaultProxy() Proxy {
 	return Proxy{
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -1,35 +1,25 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 
 	"arbutusstep.example/arbutusstep/internal/egress"
-	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/internal/quota"
 )
 
 // pastDeadline is a deadline in the past. Setting it ends a blocked read.
 var pastDeadline = time.Unix(1, 0)
 
-// continueResponse asks a caller to send the request body.
-const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
-
-// errUnknownExpectation means that the Expect header of a request is not supported.
-var errUnknownExpectation = errors.New("unknown expectation")
-
 // connection is a connection of a caller.
 type connection struct {
 	server *Server
@@ -79,10 +69,13 @@
 			return
 		}
 		if !c.enqueue(e) {
+			request.Body.Release()
 			return
 		}
 		c.handlers.Go(func() {
-			e.complete(c, c.server.Handler.Handle(c.ctx, request))
+			response := c.server.Handler.Handle(c.ctx, request)
+			request.Body.Release()
+			e.complete(c, response)
 		})
 		if e.closeAfter {
 			c.watchForDisconnect()
@@ -178,71 +171,6 @@
 	}
 }
 
-// readRequest reads one request including its body.
-func (c *connection) readRequest() (request *Request, e *exchange, err error) {
-	limits := c.server.limits()
-	_ = c.conn.SetReadTimeout(limits.HeaderTimeout)
-	var raw protocol.Request
-	raw.Header.SetNoDefaultContentType(true)
-	if err = req.ReadHeaderWithLimit(&raw.Header, c.conn, limits.MaxHeaderBytes); err != nil {
-		return nil, nil, err
-	}
-	arrived := time.Now()
-	_ = c.conn.SetReadTimeout(bodyTimeout)
-	if raw.Header.ContentLength() > limits.MaxBodyBytes {
-		return nil, nil, errs.ErrBodyTooLarge
-	}
-	if raw.MayContinue() {
-		if _, err = c.conn.Write([]byte(continueResponse)); err != nil {
-			return nil, nil, err
-		}
-	} else if len(raw.Header.Peek("Expect")) > 0 {
-		return nil, nil, errUnknownExpectation
-	}
-	if err = req.ContinueReadBody(&raw, c.conn, limits.MaxBodyBytes, false); err != nil {
-		return nil, nil, err
-	}
-	request, err = c.newRequest(&raw, arrived)
-	_ = c.conn.Release()
-	return request, &exchange{isHead: raw.Header.IsHead(), closeAfter: raw.Header.ConnectionClose()}, err
-}
-
-// newRequest copies a request out of the buffers of the connection, without the
-// headers that are not forwarded.
-func (c *connection) newRequest(raw *protocol.Request, arrived time.Time) (request *Request, err error) {
-	target := string(raw.Header.RequestURI())
-	path, _, _ := strings.Cut(target, "?")
-	request = &Request{
-		Method: string(raw.Header.Method()), Host: string(raw.Header.Host()), Path: path, Target: target,
-		Body: bytes.Clone(raw.Body()), Arrived: arrived,
-	}
-	if request.Host == "" {
-		return nil, errors.New("missing Host header")
-	}
-	if !strings.HasPrefix(target, "/") {
-		return nil, errors.New("request target does not start with a slash")
-	}
-	var connectionHeaders []string
-	raw.Header.VisitAll(func(key, value []byte) {
-		if string(key) == "Connection" {
-			connectionHeaders = append(connectionHeaders, string(value))
-		}
-	})
-	hopByHop := wire.HopByHop(connectionHeaders)
-	fields := make(map[string]string)
-	raw.Header.VisitAll(func(key, value []byte) {
-		name, text := string(key), string(value)
-		if _, seen := fields[name]; !seen {
-			fields[name] = text
-		}
-		if !hopByHop.Has(name) && name != "Content-Length" && name != "Expect" {
-			request.Headers = append(request.Headers, &wire.Header{Name: name, Value: text})
-		}
-	})
-	request.HeaderValue = func(name string) string { return fields[http.CanonicalHeaderKey(name)] }
-	return request, nil
-}
-
 // rejectRequest responds to a request that could not be read, after all earlier
 // requests are answered, and closes the connection.
 func (c *connection) rejectRequest(err error) {
@@ -253,6 +181,8 @@
 		status, reason = http.StatusRequestHeaderFieldsTooLarge, "header-too-large"
 	case errors.Is(err, errs.ErrBodyTooLarge):
 		status, reason = http.StatusRequestEntityTooLarge, "body-too-large"
+	case errors.Is(err, quota.ErrExceeded):
+		status, reason = http.StatusServiceUnavailable, "body-memory"
 	case errors.Is(err, errUnknownExpectation):
 		status, reason = http.StatusExpectationFailed, "unknown-expectation"
 	case errors.Is(err, errs.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -19,6 +19,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"arbutusstep.example/arbutusstep/internal/egress"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/wire"
 )
 
@@ -87,7 +88,8 @@
 	// HeaderValue returns the first value of a header, even if the header is not
 	// forwarded.
 	HeaderValue func(name string) string
-	Body        []byte
+	// Body is released once the request is handled; nil if it is empty.
+	Body *quota.Body
 	// Arrived is the time at which the header section was complete.
 	Arrived time.Time
 }
@@ -123,9 +125,15 @@
 	// Draining reports whether callers should close their connections after the
 	// current request; nil means never.
 	Draining func() bool
+	// Memory is the memory for request bodies; nil means one of its own. A request whose
+	// body exceeds it is rejected.
+	Memory *quota.Memory
 	// Link schedules large responses; nil means that they are sent immediately.
 	Link *egress.Link
 
+	// ownMemory is used if Memory is nil.
+	ownMemory quota.Memory
+
 	mutex sync.Mutex
 	// connections holds the open connections; guarded by mutex.
 	connections map[*connection]struct{}
@@ -221,6 +229,13 @@
 	return s.Limits().withDefaults()
 }
 
+func (s *Server) bodyMemory() *quota.Memory {
+	if s.Memory == nil {
+		return &s.ownMemory
+	}
+	return s.Memory
+}
+
 // shouldClose reports whether a connection is closed after its next response.
 func (s *Server) shouldClose() bool {
 	return s.isStopping() || s.Draining != nil && s.Draining()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -16,6 +16,7 @@
 
 	"arbutusstep.example/arbutusstep/internal/egress"
 	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/wire"
 )
 
@@ -48,7 +49,7 @@
 			p.canceled <- request.Path
 		}
 	}
-	body := fmt.Sprintf("%s %s %s %s", request.Method, request.Target, request.HeaderValue("x-one"), request.Body)
+	body := fmt.Sprintf("%s %s %s %s", request.Method, request.Target, request.HeaderValue("x-one"), request.Body.Bytes())
 	return &front.Response{Status: http.StatusOK, Body: []byte(body), Length: int64(len(body)), Headers: []*wire.Header{
 		{Name: "Passed", Value: fmt.Sprint(len(request.Headers))},
 	}}
@@ -253,3 +254,44 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.Equal(t, len(body), 2*egress.LargeMessageBytes)
 }
+
+// TestRequestBodiesShareTheirMemory guards against request bodies that take the process
+// over its memory, which ends the requests of everybody else. One that finds no room is
+// refused as not run, and the others are served.
+func TestRequestBodiesShareTheirMemory(t *testing.T) {
+	const limit = 2 << 20
+	large := strings.Repeat("b", 3<<20)
+	tests := []struct {
+		name, head, body string
+		status           int
+	}{
+		{name: "small", head: "Content-Length: 4", body: "body", status: http.StatusOK},
+		{name: "small in chunks", head: "Transfer-Encoding: chunked", body: "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n", status: http.StatusOK},
+		{name: "large", head: fmt.Sprintf("Content-Length: %d", len(large)), body: large, status: http.StatusServiceUnavailable},
+		{name: "large in chunks", head: "Transfer-Encoding: chunked", body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(large), large), status: http.StatusServiceUnavailable},
+		{name: "longer than the limit", head: fmt.Sprintf("Content-Length: %d", 9<<20), status: http.StatusRequestEntityTooLarge},
+	}
+	memory := &quota.Memory{}
+	memory.SetLimit(limit)
+	handler := newEchoHandler()
+	dial := startServer(t, &front.Server{Handler: handler, Memory: memory})
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			conn, reader := dial()
+			go func() {
+				_, _ = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: a.example\r\n"+tt.head+"\r\n\r\n"+tt.body)
+			}()
+			response, body := readResponse(t, reader)
+			assert.Equal(t, response.StatusCode, tt.status)
+			if tt.status == http.StatusOK {
+				assert.Equal(t, body, "POST /x  body")
+				// The next request on the connection starts where the body ended.
+				_, err := io.WriteString(conn, getRequest("/y"))
+				assert.NilError(t, err)
+				_, body = readResponse(t, reader)
+				assert.Equal(t, body, "GET /y  ")
+			}
+			assert.Equal(t, memory.Used(), int64(0))
+		})
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 	"arbutusstep.example/arbutusstep/internal/links"
 	"arbutusstep.example/arbutusstep/internal/meter"
 	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/sock"
@@ -62,9 +63,6 @@
 	bytesPerMegabit  = 1e6 / 8
 	// dialTimeout limits one dial to another proxy.
 	dialTimeout = 500 * time.Millisecond
-	// bodyMemoryPercent is the part of the memory limit that response bodies may use
-	// together, in percent.
-	bodyMemoryPercent = 50
 	// maxQueuedBytes is how much data may be queued on the network link of the host
 	// before a ping. A slow link takes a considerable time to send it.
 	maxQueuedBytes = 512 << 10
@@ -120,6 +118,7 @@
 	links          *links.Driver
 
 	egressLink    egress.Link
+	bodyMemory    quota.Memory
 	gate          gate.Gate
 	handler       serve.Handler
 	router        steer.Router
@@ -219,7 +218,7 @@
 	p.egressLink.SetRate(settings.Limits.Link * bytesPerMegabit * linkSharePercent / 100)
 	p.healthClient.Transport = &http.Transport{DisableKeepAlives: true}
 	p.healthClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	p.handler.Link, p.front.Link = &p.egressLink, &p.egressLink
+	p.handler.Link, p.front.Link, p.handler.Memory = &p.egressLink, &p.egressLink, &p.bodyMemory
 	p.handler.Gate, p.handler.Headers = &p.gate, p.platform.Headers
 	p.handler.OnUnreachable, p.handler.OnUnanswered = p.reportUnreachable, p.requestLog.logUnanswered
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
@@ -256,7 +255,8 @@
 	p.router.Headers, p.router.Recorder = p.platform.Headers, &p.requestLog
 	p.router.Host, p.router.Place = settings.Host, p.place()
 	p.router.Service = func() mesh.Service { return p.settings.Load().Service }
-	p.router.BodyMemory = settings.Limits.Memory * bodyMemoryPercent / 100
+	p.bodyMemory.SetLimit(settings.Limits.BodyBytes())
+	p.router.Memory, p.front.Memory = &p.bodyMemory, &p.bodyMemory
 	p.router.Budget.Configure(retryLimit(settings))
 	p.front.Handler, p.front.Draining = &p.router, p.isDraining
 	p.front.Limits = func() front.Limits {
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -135,6 +135,7 @@
 		{"calls_not_run", float64(counters.NotRun.Load())},
 		{"calls_unknown", float64(counters.Unknown.Load())},
 		{"calls_cut", float64(counters.Truncated.Load())},
+		{"body_bytes", float64(p.bodyMemory.Used())},
 		{"link_stalls", float64(p.egressLink.Stalls())},
 		{"sessions_accepted", float64(sessions.Sessions)},
 		{"platform_calls", float64(p.store.Calls())},
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -10,6 +10,7 @@
 
 	"arbutusstep.example/arbutusstep/internal/egress"
 	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
@@ -40,6 +41,10 @@
 	// is rejected if its response would be sent too late.
 	Link *egress.Link
 
+	// Memory is the memory for large responses; nil means one of its own. A response that
+	// exceeds it is sent as it arrives.
+	Memory *quota.Memory
+
 	// OnUnanswered is called for each call that gets no response, with the load of
 	// the gate at that time. It may be nil and must not block.
 	OnUnanswered func(head *wire.CallHead, outcome wire.Outcome, reason string, load gate.Load)
@@ -64,6 +69,8 @@
 	counters Counters
 	lengths  responseLengths
 	origins  originTracker
+	// ownMemory is used if Memory is nil.
+	ownMemory quota.Memory
 }
 
 // Counters counts calls by outcome.
@@ -250,7 +257,11 @@
 		h.lengths.record(state.call.Head.GetRoute(), response.ContentLength)
 	}
 	if state.claims == nil && h.shouldBuffer(response.ContentLength) {
-		return gate.Result{Failed: !h.sendLargeResponse(ctx, response, state)}
+		body := h.bodyMemory().Hold()
+		defer body.Release()
+		if body.Reserve(response.ContentLength) == nil {
+			return gate.Result{Failed: !h.sendLargeResponse(ctx, response, state)}
+		}
 	}
 	return gate.Result{Failed: !h.sendResponse(response, state)}
 }
--- a/internal/serve/large_test.go
+++ b/internal/serve/large_test.go
@@ -14,6 +14,7 @@
 
 	"arbutusstep.example/arbutusstep/internal/egress"
 	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/wire"
 )
 
@@ -160,3 +161,33 @@
 		})
 	}
 }
+
+// TestLargeResponsesShareTheirMemory guards against responses that wait for the network
+// link and take the process over its memory. One that finds no room is sent as it arrives.
+func TestLargeResponsesShareTheirMemory(t *testing.T) {
+	const length = 200_000
+	tests := []struct {
+		name string
+		// held is the memory that other bodies use, in bytes.
+		held int64
+	}{
+		{name: "room"},
+		{name: "no room", held: 300_000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHandler(t, sizedHandler)
+			h.Memory = &quota.Memory{}
+			h.Memory.SetLimit(300_000)
+			h.Link = newLink(64 << 20)
+			other := h.Memory.Hold()
+			assert.NilError(t, other.Reserve(tt.held))
+			body := fmt.Sprint(length)
+			_, got, err := doRemote(t.Context(), h, callHead(body), body)
+			assert.NilError(t, err)
+			assert.Equal(t, len(got), length)
+			other.Release()
+			assert.Equal(t, h.Memory.Used(), int64(0))
+		})
+	}
+}
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -13,6 +12,7 @@
 
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
@@ -225,11 +225,11 @@
 
 // newBodyReader returns a reader of the body for one attempt, or nil if the body is
 // empty.
-func newBodyReader(body []byte) io.Reader {
-	if len(body) == 0 {
+func newBodyReader(body *quota.Body) io.Reader {
+	if body.Len() == 0 {
 		return nil
 	}
-	return bytes.NewReader(body)
+	return body.NewReader()
 }
 
 // recordAttempt appends an attempt to the record of the request.
--- a/internal/steer/bodies_test.go
+++ b/internal/steer/bodies_test.go
@@ -90,7 +90,8 @@
 
 func newEndlessRouter(t testing.TB, caller *endlessCaller) *steer.Router {
 	router, _ := newRouter(t, plan.Download, 1, &scriptedCaller{})
-	router.Remote, router.Recorder, router.BodyMemory = caller, discardRecords{}, bodyMemory
+	router.Remote, router.Recorder = caller, discardRecords{}
+	router.Memory.SetLimit(bodyMemory)
 	return router
 }
 
@@ -144,7 +145,7 @@
 func BenchmarkEndlessBodies(b *testing.B) {
 	caller := &endlessCaller{length: -1, pause: time.Millisecond}
 	router := newEndlessRouter(b, caller)
-	router.BodyMemory = 0
+	router.Memory.SetLimit(0)
 	var peak uint64
 	for b.Loop() {
 		var requests sync.WaitGroup
--- a/internal/steer/fetch.go
+++ b/internal/steer/fetch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 )
 
@@ -16,14 +17,14 @@
 // fetched is the result of one call. The body is nil if there is an error.
 type fetched struct {
 	reply *peer.Reply
-	body  *heldBody
+	body  *quota.Body
 	err   error
 }
 
 // fetch calls one upstream and reads its response completely. It returns at most
 // abandonTimeout after the end of the context. A call that is blocked for longer ends in
 // the background, and its outcome is unknown.
-func (r *Router) fetch(ctx context.Context, call *peer.Call, candidate pick.Candidate) (reply *peer.Reply, body *heldBody, err error) {
+func (r *Router) fetch(ctx context.Context, call *peer.Call, candidate pick.Candidate) (reply *peer.Reply, body *quota.Body, err error) {
 	done := make(chan fetched, 1)
 	go func() { done <- r.fetchBlocking(ctx, call, candidate) }()
 	var result fetched
@@ -46,7 +47,7 @@
 	}
 	go func() {
 		if late := <-done; late.body != nil {
-			late.body.release()
+			late.body.Release()
 		}
 	}()
 	reason := peer.ReasonCanceled
@@ -65,9 +66,9 @@
 	if result.err != nil {
 		return result
 	}
-	body := r.bodies.hold(r.BodyMemory)
-	if result.err = body.read(result.reply); result.err != nil {
-		body.release()
+	body := r.Memory.Hold()
+	if result.err = readBody(body, result.reply); result.err != nil {
+		body.Release()
 		return result
 	}
 	result.body = body
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -16,6 +16,7 @@
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
@@ -85,14 +86,12 @@
 	// Service returns the service of the upstream of this node.
 	Service func() mesh.Service
 
-	// BodyMemory is the memory in bytes that the response bodies of all requests may
-	// use together; zero means DefaultBodyMemory.
-	BodyMemory int64
+	// Memory is the memory for response bodies. It must be set.
+	Memory *quota.Memory
 
 	Picker   pick.Picker
 	Budget   retry.SharedBudget
 	timeouts timeoutTracker
-	bodies   bodyMemory
 
 	attemptCount atomic.Uint64
 }
@@ -145,7 +144,11 @@
 // HandleMalformed implements front.Handler.
 func (r *Router) HandleMalformed(status int, reason string) *front.Response {
 	rs := &requestState{record: RequestRecord{Arrived: time.Now(), Status: status}}
-	response := r.localResponse(rs, status, reason, 0)
+	retryAfter := time.Duration(0)
+	if status == http.StatusServiceUnavailable {
+		retryAfter = noUpstreamRetryAfter
+	}
+	response := r.localResponse(rs, status, reason, retryAfter)
 	r.Recorder.Record(rs.record)
 	return response
 }
@@ -333,7 +336,7 @@
 	}
 	rs.upstreamAttempts++
 	return &front.Response{
-		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body.data, Length: reply.Head.GetBodyLength(), Release: body.release,
+		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body.Bytes(), Length: reply.Head.GetBodyLength(), Release: body.Release,
 	}, nil
 }
 
@@ -347,7 +350,7 @@
 	startWithin, maxWait := r.queueLimits(rs, typical)
 	head := &wire.CallHead{
 		Service: string(rs.service), Method: rs.request.Method, Path: rs.request.Target, Headers: r.upstreamHeaders(rs),
-		Priority: uint32(priorityOf(rs.rule.Rank)), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: int64(len(rs.request.Body)),
+		Priority: uint32(priorityOf(rs.rule.Rank)), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
 		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -20,6 +20,7 @@
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/internal/steer"
 	"arbutusstep.example/arbutusstep/internal/wire"
@@ -129,6 +130,7 @@
 	ready := make(chan struct{})
 	close(ready)
 	router := &steer.Router{
+		Memory: &quota.Memory{},
 		Snapshots: fixedSnapshot{ready: ready, snapshot: cells.ProxySnapshot{Plan: built, NodeCount: 1, CandidateSets: map[mesh.Service]*pick.CandidateSet{
 			"orders": pick.NewCandidateSet(mesh.ServiceID{Service: "orders"}, candidates),
 		}}},
@@ -140,7 +142,7 @@
 
 func newRequest(path string, fields map[string]string) *front.Request {
 	r := &front.Request{
-		Method: "POST", Host: "a.example", Path: path, Target: path + "?q=1", Body: []byte("body"), Arrived: time.Now(),
+		Method: "POST", Host: "a.example", Path: path, Target: path + "?q=1", Body: quota.NewBody([]byte("body")), Arrived: time.Now(),
 		HeaderValue: func(name string) string { return fields[name] },
 	}
 	for name, value := range fields {
