Believe a refusal without an ID only as the first on its connection

Cause: exchange.readResponse took any response without an ID as the answer to the current request; only a success had to carry it.

Change: such a refusal is believed only as the first response on a connection, which is then closed. Later it is skipped if the upstream's refusals are known to carry IDs, and otherwise ends the request as of unknown outcome. Other responses without an ID are skipped once the connection has had one with it.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -48,6 +49,9 @@
 	readLimit int64
 	// written is true if a byte of the current request may have been sent.
 	written bool
+	// answered is true once a response was accepted, and identified once one with the ID
+	// of its request was.
+	answered, identified bool
 	// lastUsed is when the last call ended.
 	lastUsed time.Time
 	// keepAlive is how long the connection may be idle according to the upstream's
@@ -125,6 +129,8 @@
 // connPool is a pool of connections to one upstream.
 type connPool struct {
 	address string
+	// identifiesRefusals is true once the upstream has refused a request with its ID.
+	identifiesRefusals atomic.Bool
 	// slots limits the number of connections in use; nil means no limit.
 	slots chan struct{}
 
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -240,8 +240,11 @@
 		return h.handleNotSent(ctx, state, err)
 	case err != nil:
 		reason := unknownReason(ctx)
-		if errors.Is(err, errUnauthenticated) {
+		switch {
+		case errors.Is(err, errUnauthenticated):
 			reason = ReasonUnauthenticated
+		case errors.Is(err, errUnattributed):
+			reason = ReasonUnattributed
 		}
 		if ctx.Err() == nil {
 			state.upstream.breaker.Record(time.Now(), state.call.Head.GetRoute(), true)
--- a/internal/serve/reason.go
+++ b/internal/serve/reason.go
@@ -35,6 +35,9 @@
 	// ReasonUnauthenticated means that a success response did not prove that it was
 	// sent by the upstream.
 	ReasonUnauthenticated = "answer-unsealed"
+	// ReasonUnattributed means that a refusal may have been that of an earlier request on
+	// the connection.
+	ReasonUnattributed = "answer-unattributed"
 	// ReasonFailing means that the circuit breaker is open, because the upstream
 	// fails nearly all requests.
 	ReasonFailing = "upstream-failing"
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -50,6 +50,9 @@
 	// errUnauthenticated means that a success response does not prove that it was sent
 	// by the upstream.
 	errUnauthenticated = errors.New("response without proof of origin")
+	// errUnattributed means that a response without an ID may belong to an earlier request
+	// on the connection.
+	errUnattributed = errors.New("response without ID on a used connection")
 )
 
 var copyBufferPool = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
@@ -177,7 +180,11 @@
 			continue
 		}
 		x.info = x.headers.ParseResponse(response.StatusCode, response.Header)
-		if x.info.RequestID == "" || x.info.RequestID == x.requestID {
+		var own bool
+		if own, err = x.isOwn(); err != nil {
+			return nil, err
+		}
+		if own {
 			return response, x.checkAuthentic(response)
 		}
 		x.reusable = false
@@ -189,6 +196,32 @@
 	return nil, errors.New("too many late responses")
 }
 
+// isOwn reports whether the response belongs to the request. One without an ID is believed
+// only where no earlier request can be meant: an upstream in trouble may repeat an earlier
+// refusal while it runs this request.
+func (x *exchange) isOwn() (own bool, err error) {
+	c := x.conn
+	if x.info.RequestID == x.requestID && x.requestID != "" {
+		if x.info.NotRun {
+			x.pool.identifiesRefusals.Store(true)
+		}
+		c.answered, c.identified = true, true
+		return true, nil
+	}
+	switch {
+	case x.info.RequestID != "":
+		return false, nil
+	case x.info.NotRun && c.answered && !x.pool.identifiesRefusals.Load():
+		return false, errUnattributed
+	case c.identified || x.info.NotRun && c.answered:
+		return false, nil
+	}
+	// Another copy of a refusal could not be told from the refusal of the next request.
+	x.reusable = x.reusable && !x.info.NotRun
+	c.answered = true
+	return true, nil
+}
+
 // readHeader reads one header section and subtracts what was read from limit.
 func (x *exchange) readHeader(request *http.Request, limit *int64) (response *http.Response, err error) {
 	x.conn.readLimit = *limit
