Refuse the calls of other proxies before the callers' listener is closed

What was seen: TestStoppingProxyRefusesRemoteCalls failed once beside load with 504 where 503 was expected; a caller would see a request held to its deadline.

Cause: Stop set the refusal in a goroutine, beside the closing of the listener, so a call that came in between was taken.

Change: the refusal is set before anything else.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -129,12 +129,20 @@
 	return stats
 }
 
+// RefuseCalls makes the server refuse new sessions, and new calls with the outcome NotRun.
+// Calls in progress go on.
+func (s *Server) RefuseCalls() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.draining = true
+}
+
 // Shutdown stops accepting sessions, refuses new calls with the outcome NotRun,
 // waits for calls in progress and then closes the server. If the context ends
 // first, Shutdown closes the server at once and returns the context's error.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
+	s.RefuseCalls()
 	s.mutex.Lock()
-	s.draining = true
 	listener := s.listener
 	s.mutex.Unlock()
 	if listener != nil {
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -73,6 +73,7 @@
 		}
 	}()
 	// Calls of other proxies that arrive after this could not be finished in time.
+	p.peers.RefuseCalls()
 	peersStopped := make(chan error, 1)
 	go func() { peersStopped <- p.peers.Shutdown(ctx) }()
 	p.closeCallerConnections(ctx)
