Take no request late in a stop that it may outlast

Cause: a stopping proxy reads nothing new once the longest timeout before its end has begun, but a request whose header section was on its way by then, or whose timeout is longer than half of the stop, was taken as any other.

Change: in the second half of a stop, a request or another host's call is taken only if its deadline lies 250 ms before the end. Otherwise it is refused as not run, with Retry-After.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -143,6 +143,8 @@
 	adminServer    *httpd.Server
 	readyServer    *httpd.Server
 
+	// stopStart is when the planned stop began; nil before it.
+	stopStart   atomic.Pointer[time.Time]
 	stopControl context.CancelFunc
 	goroutines  sync.WaitGroup
 }
@@ -221,6 +223,7 @@
 	p.handler.Link, p.front.Link, p.handler.Memory = &p.egressLink, &p.egressLink, &p.bodyMemory
 	p.handler.Gate, p.handler.Headers = &p.gate, p.platform.Headers
 	p.handler.OnUnreachable, p.handler.OnUnanswered = p.reportUnreachable, p.requestLog.logUnanswered
+	p.handler.FinishBy, p.router.FinishBy = p.finishBy, p.finishBy
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
 	p.handler.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
 	p.handler.FanOut = func() float64 { return p.router.Budget.MaxFanOut(time.Now(), p.settings.Load().Service) }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -377,6 +378,51 @@
 	m.startProxy(t, stopped, 0)
 }
 
+// TestStopRefusesRequestsThatItCannotFinish guards against a request that arrives late in a
+// planned stop, is passed on, and is cut without an answer when the process ends. Its
+// caller gets a refusal at once instead.
+func TestStopRefusesRequestsThatItCannotFinish(t *testing.T) {
+	tests := []struct {
+		name string
+		// timeout is the timeout that the caller sets.
+		timeout string
+		status  int
+	}{
+		{name: "may last beyond the end", timeout: "3000", status: http.StatusServiceUnavailable},
+		{name: "ends in time", timeout: "800", status: http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newMesh(t, "orders", "orders")
+			p := m.proxies[0]
+			conn, err := net.Dial("tcp", p.proxy.Addresses().Callers.String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			// The request was begun before the stop, so the connection is kept for it.
+			_, err = io.WriteString(conn, "POST /o/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\nX-Timeout-Ms: "+tt.timeout+"\r\n")
+			assert.NilError(t, err)
+			p.proxy.Drain()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- p.proxy.Stop(ctx) }()
+			time.Sleep(600 * time.Millisecond)
+			_, err = io.WriteString(conn, "Content-Length: 4\r\n\r\nbody")
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			data, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, tt.status, "%s", data)
+			assert.Equal(t, response.Header.Get("Retry-After") != "", tt.status != http.StatusOK)
+			assert.NilError(t, response.Body.Close())
+			assert.NilError(t, conn.Close())
+			assert.NilError(t, <-ended)
+			m.startProxy(t, p, 0)
+		})
+	}
+}
+
 func TestInvalidRegistrationsChangeNothing(t *testing.T) {
 	m := newMesh(t, "orders")
 	p := m.proxies[0]
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -18,6 +18,9 @@
 	// deadlinePercent is the part of a stop, in percent, after which running requests
 	// are aborted.
 	deadlinePercent = 95
+	// answerMargin is the time between the deadline of a request and the end of a stop in
+	// which its answer is sent.
+	answerMargin = 250 * time.Millisecond
 	// failuresUntilRemoved is the number of failed readiness checks after which the
 	// platform sends the proxy no new requests.
 	failuresUntilRemoved = 2
@@ -37,6 +40,7 @@
 // as short as possible.
 func (p *Proxy) Drain() {
 	start := time.Now()
+	p.stopStart.Store(&start)
 	p.cells.LifecycleCommands.Post(cells.Drain)
 	stop := p.settings.Load().Stop
 	deadline := p.StopDeadline(start).Add(-min(p.cells.Snapshot.Load().Plan.MaxTimeout(), stop*finishPercent/100))
@@ -65,6 +69,17 @@
 	return start.Add(p.settings.Load().Stop * deadlinePercent / 100)
 }
 
+// finishBy returns the time by which a request must be finished to be taken; zero means no
+// limit. Most requests that arrive early in a stop finish long before their timeout, so
+// all of them are taken.
+func (p *Proxy) finishBy() (deadline time.Time) {
+	start := p.stopStart.Load()
+	if start == nil || time.Since(*start) < p.settings.Load().Stop*finishPercent/100 {
+		return time.Time{}
+	}
+	return p.StopDeadline(*start).Add(-answerMargin)
+}
+
 // Stop stops the proxy. Running requests are finished until the context ends.
 func (p *Proxy) Stop(ctx context.Context) (err error) {
 	defer func() {
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -32,6 +32,10 @@
 	// such calls are rejected as not run.
 	Claims Claims
 
+	// FinishBy returns the time by which a call must be finished to be taken, as the process
+	// ends then; zero means no limit. It may be nil and must not block.
+	FinishBy func() time.Time
+
 	// OnUnreachable is called when the upstream can't be reached or another upstream
 	// has its address. It may be nil and must not block.
 	OnUnreachable func()
@@ -95,7 +99,7 @@
 		h.reject(call, reply, rejection{reason: ReasonNoUpstream})
 		return
 	}
-	if up.admissionClosed(time.Now()) {
+	if up.admissionClosed(time.Now()) || h.endsTooLate(ctx) {
 		h.reject(call, reply, rejection{reason: ReasonLeaving})
 		return
 	}
@@ -110,6 +114,21 @@
 	h.admit(ctx, &callState{upstream: up, call: call, reply: reply})
 }
 
+// endsTooLate reports whether the process may end before the call.
+func (h *Handler) endsTooLate(ctx context.Context) bool {
+	if h.FinishBy == nil {
+		return false
+	}
+	deadline, _ := ctx.Deadline()
+	return EndsTooLate(h.FinishBy(), deadline)
+}
+
+// EndsTooLate reports whether a request with the deadline may end after finishBy. A zero
+// deadline means that it may take any time, and a zero finishBy that there is no limit.
+func EndsTooLate(finishBy, deadline time.Time) bool {
+	return !finishBy.IsZero() && (deadline.IsZero() || deadline.After(finishBy))
+}
+
 // atMostOnce reports whether calls with the same key must run at most once.
 func atMostOnce(head *wire.CallHead) bool {
 	return head.GetKey() != "" && head.GetKeyWindowMicros() > 0
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -29,7 +29,9 @@
 	ReasonVersionUnconfirmed = "version-unconfirmed"
 	ReasonBadHeader          = "bad-header"
 	// ReasonNoService means that all services of the rule have weight zero.
-	ReasonNoService   = "no-service"
+	ReasonNoService = "no-service"
+	// ReasonStopping means that this process may end before the request would.
+	ReasonStopping    = "stopping"
 	ReasonNoUpstreams = "no-upstreams"
 	ReasonDeadline    = "deadline"
 	// ReasonUnsafeStatus replaces an upstream's status that would tell the caller that
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -17,6 +17,7 @@
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/quota"
+	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
@@ -86,6 +87,10 @@
 	// Service returns the service of the upstream of this node.
 	Service func() mesh.Service
 
+	// FinishBy returns the time by which a request must be finished to be taken, as the
+	// process ends then; zero means no limit. It may be nil and must not block.
+	FinishBy func() time.Time
+
 	// Memory is the memory for response bodies. It must be set.
 	Memory *quota.Memory
 
@@ -179,6 +184,9 @@
 	}
 	rs.deadline = rs.request.Arrived.Add(timeout)
 	rs.record.Timeout = timeout
+	if r.FinishBy != nil && serve.EndsTooLate(r.FinishBy(), rs.deadline) {
+		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonStopping, noUpstreamRetryAfter)
+	}
 	r.Budget.RecordRequest(rs.request.Arrived, rs.service)
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
 	defer cancel()
