--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -268,6 +268,27 @@
 	}
 }
 
+func TestMalformedRequestsAreAnswered(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		// retry is true if the caller is told when to come back.
+		retry bool
+	}{
+		{name: "no room for the body", status: http.StatusServiceUnavailable, retry: true},
+		{name: "malformed", status: http.StatusBadRequest},
+		{name: "body too large", status: http.StatusRequestEntityTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			router, recorded := newRouter(t, plan.Idempotent, 1, &scriptedCaller{})
+			response := router.HandleMalformed(tt.status, "reason")
+			assert.Equal(t, response.Status, tt.status)
+			assert.Equal(t, recorded.last.RetryAfter > 0, tt.retry)
+		})
+	}
+}
+
 // delayedSnapshot has an empty snapshot until it is ready.
 type delayedSnapshot struct {
 	steer.SnapshotSource
