Take the result of a call that is ready when its context ends

After a pause of the whole process, as at a spent cap of processor time, the result and the end of the wait can be ready at once; the result was then lost by chance, and a refusal became an unknown outcome.

--- a/internal/steer/fetch.go
+++ b/internal/steer/fetch.go
@@ -45,6 +45,12 @@
 		return result
 	case <-timer.C:
 	}
+	// After a pause of the process both may be ready.
+	select {
+	case result = <-done:
+		return result
+	default:
+	}
 	go func() {
 		if late := <-done; late.body != nil {
 			late.body.Release()
