Believe no refusal without an ID after a response to another request

A response with another ID shows that the connection carries bytes of earlier requests, so a refusal without one after it is as doubtful as on a connection that was used. The new case of TestRefusalOfAnEarlierRequestIsNotBelieved reads not-run without the change, by the code; it passes with it.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -49,8 +49,8 @@
 	readLimit int64
 	// written is true if a byte of the current request may have been sent.
 	written bool
-	// answered is true once a response was accepted, and identified once one with the ID
-	// of its request was.
+	// answered is true once a response was read, and identified once one with the ID of
+	// its request was.
 	answered, identified bool
 	// lastUsed is when the last call ended.
 	lastUsed time.Time
--- a/internal/serve/latecopy_test.go
+++ b/internal/serve/latecopy_test.go
@@ -78,6 +78,10 @@
 			name: "failure without an ID after others with one", responses: []string{rawResponse("one", "s", "first"), "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n" + rawResponse("two", "s", "second")},
 			want: [2]result{{body: "first"}, {body: "second"}},
 		},
+		{
+			name: "after a response to another request", responses: []string{rawResponse("other", "s", "late") + refusal, refusal},
+			want: [2]result{{outcome: peer.Unknown, reason: ReasonUnattributed}, {outcome: peer.Unknown, reason: ReasonUnattributed}},
+		},
 		{
 			name: "first response on each connection", responses: []string{refusal, rawResponse("two", "s", "late")},
 			want: [2]result{{outcome: peer.NotRun, reason: ReasonRefused}, {outcome: peer.NotRun, reason: ReasonRefused}},
--- a/internal/serve/response.go
+++ b/internal/serve/response.go
@@ -50,6 +50,7 @@
 	}
 	switch {
 	case x.info.RequestID != "":
+		c.answered = true
 		return false, nil
 	case x.info.NotRun && c.answered && !x.pool.identifiesRefusals.Load():
 		return false, errUnattributed
