Keep the timeout out of the test of bodies without an end

Its rule has a timeout of 200 ms, and 40 bodies at once took longer there; a request whose timeout has passed ends with 504, before and after this work.

The checks are unchanged: 502 for each body without an end, whole answers for all others, all memory returned.

--- a/internal/steer/bodies_test.go
+++ b/internal/steer/bodies_test.go
@@ -88,8 +88,18 @@
 	return len(data), nil
 }
 
+// newEndlessRouter returns a router whose rule has a timeout that no request reaches, so
+// that only the memory ends those without an end.
 func newEndlessRouter(t testing.TB, caller *endlessCaller) *steer.Router {
 	router, _ := newRouter(t, plan.Download, 1, &scriptedCaller{})
+	snapshot := router.Snapshots.(fixedSnapshot)
+	var err error
+	snapshot.snapshot.Plan, err = plan.New(6, plan.Limits{}, []plan.Service{{Name: "orders"}}, []*plan.Rule{{
+		Name: "r", Host: "a.example", Prefix: "/o/", Kind: plan.Download, Rank: 1, Timeout: time.Hour, MaxAttempts: 1,
+		Services: []plan.WeightedService{{Service: "orders", Weight: 1}},
+	}})
+	assert.NilError(t, err)
+	router.Snapshots = snapshot
 	router.Remote, router.Recorder = caller, discardRecords{}
 	router.Memory.SetLimit(bodyMemory)
 	return router
