Count requests from before the first use of the retry budget

Cause: SharedBudget numbers its buckets from its first use, and a request is recorded with the time of its arrival.

Change: a time before the first use counts in the first bucket. A panic while one request or call is handled ends it alone, as may have run, and is logged with its stack.

Measured: TestRequestMayArriveBeforeTheFirstUse panicked before the change with index out of range [-4] and passes now, with the race detector, like the tests of internal/steer and internal/serve.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -224,6 +224,7 @@
 	p.handler.Gate, p.handler.Headers = &p.gate, p.platform.Headers
 	p.handler.OnUnreachable, p.handler.OnUnanswered = p.reportUnreachable, p.requestLog.logUnanswered
 	p.handler.FinishBy, p.router.FinishBy = p.finishBy, p.finishBy
+	p.handler.OnPanic, p.router.OnPanic = p.logPanic, p.logPanic
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
 	p.handler.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
 	p.handler.FanOut = func() float64 { return p.router.Budget.MaxFanOut(time.Now(), p.settings.Load().Service) }
@@ -292,6 +293,11 @@
 	}
 }
 
+// logPanic logs a panic that ended one request.
+func (p *Proxy) logPanic(value any, stack []byte) {
+	p.logger.Error().Interface("panic", value).Bytes("stack", stack).Msg("requestPanicked")
+}
+
 func (p *Proxy) place() mesh.Place {
 	settings := p.settings.Load()
 	return mesh.Place{Region: settings.Region, Zone: settings.Zone}
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,10 @@
 	// the gate at that time. It may be nil and must not block.
 	OnUnanswered func(head *wire.CallHead, outcome wire.Outcome, reason string, load gate.Load)
 
+	// OnPanic is called with the value and the stack of a panic while a call is handled.
+	// It may be nil and must not block.
+	OnPanic func(value any, stack []byte)
+
 	// OnForward is called for each call that is forwarded to the upstream. FanOut
 	// returns the maximum number of calls to another service that the upstream makes
 	// for one request. Both may be nil and must not block.
@@ -94,6 +99,20 @@
 
 // ServeCall implements peer.CallHandler.
 func (h *Handler) ServeCall(ctx context.Context, call *peer.Call, reply peer.ReplyWriter) {
+	defer func() {
+		// A panic ends this call alone: the process holds other calls.
+		if value := recover(); value != nil {
+			if h.OnPanic != nil {
+				h.OnPanic(value, debug.Stack())
+			}
+			h.reject(call, reply, rejection{unknown: true, reason: ReasonInternalError})
+			reply.Fail(ReasonInternalError)
+		}
+	}()
+	h.serveCall(ctx, call, reply)
+}
+
+func (h *Handler) serveCall(ctx context.Context, call *peer.Call, reply peer.ReplyWriter) {
 	up := h.upstream.Load()
 	if up == nil || !up.accepts(call.Head.GetService()) {
 		h.reject(call, reply, rejection{reason: ReasonNoUpstream})
--- a/internal/serve/reason.go
+++ b/internal/serve/reason.go
@@ -41,6 +41,8 @@
 	// ReasonFailing means that the circuit breaker is open, because the upstream
 	// fails nearly all requests.
 	ReasonFailing = "upstream-failing"
+	// ReasonInternalError means that handling the call panicked.
+	ReasonInternalError = "internal-error"
 	// ReasonLinkLate means that the response would have waited too long for the
 	// network link of the host.
 	ReasonLinkLate = "link-late"
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -326,3 +326,36 @@
 type brokenBody struct{}
 
 func (brokenBody) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// panickingGate panics for the first call.
+type panickingGate struct {
+	Gate
+	panicked atomic.Bool
+}
+
+func (p *panickingGate) AcquireFor(ctx context.Context, request gate.Request) (*gate.Permit, error) {
+	if !p.panicked.Swap(true) {
+		panic("broken invariant")
+	}
+	return p.Gate.AcquireFor(ctx, request)
+}
+
+// TestPanicEndsOneCallAlone guards against one faulty call that ends the process with all
+// others.
+func TestPanicEndsOneCallAlone(t *testing.T) {
+	h := newHandler(t, echoHandler)
+	h.Gate = &panickingGate{Gate: h.Gate}
+	var value any
+	h.OnPanic = func(v any, stack []byte) {
+		value = v
+		assert.Assert(t, len(stack) > 0)
+	}
+	_, _, err := do(t.Context(), h, callHead(""), "")
+	var callErr *peer.CallError
+	assert.Assert(t, errors.As(err, &callErr))
+	assert.Equal(t, callErr.Outcome, peer.Unknown)
+	assert.Equal(t, callErr.Reason, ReasonInternalError)
+	assert.Equal(t, value, "broken invariant")
+	_, _, err = do(t.Context(), h, callHead(""), "")
+	assert.NilError(t, err)
+}
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -37,6 +37,8 @@
 	// ReasonUnsafeStatus replaces an upstream's status that would tell the caller that
 	// the request did not run.
 	ReasonUnsafeStatus = "upstream-promise"
+	// ReasonInternalError means that processing the request panicked.
+	ReasonInternalError = "internal-error"
 )
 
 const (
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -91,6 +92,10 @@
 	// process ends then; zero means no limit. It may be nil and must not block.
 	FinishBy func() time.Time
 
+	// OnPanic is called with the value and the stack of a panic while a request is
+	// processed. It may be nil and must not block.
+	OnPanic func(value any, stack []byte)
+
 	// Memory is the memory for response bodies. It must be set.
 	Memory *quota.Memory
 
@@ -138,7 +143,7 @@
 func (r *Router) Handle(ctx context.Context, request *front.Request) *front.Response {
 	rs := &requestState{request: request}
 	rs.record = RequestRecord{ID: r.Headers.RequestID(request.HeaderValue), Method: request.Method, Host: request.Host, Path: request.Path, Arrived: request.Arrived}
-	response := r.route(ctx, rs)
+	response := r.routeOrRecover(ctx, rs)
 	response.SendBy = rs.deadline
 	rs.record.Status, rs.record.Duration = response.Status, time.Since(request.Arrived)
 	rs.record.Canceled = ctx.Err() != nil
@@ -146,6 +151,20 @@
 	return response
 }
 
+// routeOrRecover routes a request. A panic ends this request alone: the process holds
+// the requests of other callers.
+func (r *Router) routeOrRecover(ctx context.Context, rs *requestState) (response *front.Response) {
+	defer func() {
+		if value := recover(); value != nil {
+			if r.OnPanic != nil {
+				r.OnPanic(value, debug.Stack())
+			}
+			response = r.localResponse(rs, http.StatusBadGateway, ReasonInternalError, 0)
+		}
+	}()
+	return r.route(ctx, rs)
+}
+
 // HandleMalformed implements front.Handler.
 func (r *Router) HandleMalformed(status int, reason string) *front.Response {
 	rs := &requestState{record: RequestRecord{Arrived: time.Now(), Status: status}}
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -524,3 +524,45 @@
 		})
 	}
 }
+
+// panickingCodec panics for requests with one ID.
+type panickingCodec struct{ headerCodec }
+
+func (panickingCodec) Timeout(header func(string) string) (time.Duration, error) {
+	if header("id") == "bad" {
+		panic("broken invariant")
+	}
+	return 0, nil
+}
+
+// TestPanicEndsOneRequestAlone guards against one faulty request that ends the process
+// with all others.
+func TestPanicEndsOneRequestAlone(t *testing.T) {
+	tests := []struct {
+		name, id   string
+		wantStatus int
+		wantReason string
+	}{
+		{name: "request that panics", id: "bad", wantStatus: http.StatusBadGateway, wantReason: steer.ReasonInternalError},
+		{name: "next request", id: "good", wantStatus: http.StatusOK},
+	}
+	r, recorded := newRouter(t, plan.Idempotent, 1, &scriptedCaller{results: []callResult{{status: http.StatusOK}}})
+	r.Headers = panickingCodec{}
+	panics := 0
+	r.OnPanic = func(any, []byte) { panics++ }
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			request := &front.Request{Method: "GET", Host: "a.example", Path: "/o/1", Target: "/o/1", Arrived: time.Now()}
+			request.HeaderValue = func(name string) string {
+				if name == "id" {
+					return tt.id
+				}
+				return ""
+			}
+			response := r.Handle(t.Context(), request)
+			assert.Equal(t, response.Status, tt.wantStatus)
+			assert.Equal(t, recorded.last.Reason, tt.wantReason)
+		})
+	}
+	assert.Equal(t, panics, 1)
+}
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -154,12 +154,14 @@
 	return total
 }
 
-// bucket returns the number of the current bucket.
+// bucket returns the number of the bucket at that time. A request that arrived before
+// the first use counts in bucket 0, because a waiting request is recorded with the
+// time of its arrival.
 func (b *SharedBudget) bucket(now time.Time) int64 {
 	if b.epoch.IsZero() {
 		b.epoch = now
 	}
-	return int64(now.Sub(b.epoch) / (b.limit.Window / windowBuckets))
+	return max(0, int64(now.Sub(b.epoch)/(b.limit.Window/windowBuckets)))
 }
 
 // advance clears the buckets that have expired and returns the index of the
--- a/pkg/retry/shared_test.go
+++ b/pkg/retry/shared_test.go
@@ -131,6 +131,34 @@
 	}
 }
 
+// TestRequestMayArriveBeforeTheFirstUse guards against an index below zero, which ended
+// the process: a request that waits for the first version is recorded with the time of
+// its arrival, which may lie before the first use of the budget.
+func TestRequestMayArriveBeforeTheFirstUse(t *testing.T) {
+	first := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	tests := []struct {
+		name    string
+		earlier time.Duration
+	}{
+		{name: "within the first bucket", earlier: 100 * time.Millisecond},
+		{name: "several buckets", earlier: 2 * time.Second},
+		{name: "more than the window", earlier: time.Minute},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b retry.SharedBudget
+			b.Configure(retry.SharedLimit{Window: 10 * time.Second, Ratio: 1, Slack: 0})
+			b.RecordRun(first)
+			b.RecordRequest(first.Add(-tt.earlier), "orders")
+			b.RecordFanOut(first.Add(-tt.earlier), "views", 1)
+			assert.Assert(t, !b.TryWithdraw(first.Add(-tt.earlier), "lookups", 1))
+			b.RecordRequest(first, "orders")
+			assert.Assert(t, b.TryWithdraw(first, "orders", 1), "both requests count")
+			assert.Equal(t, b.MaxFanOut(first.Add(-tt.earlier), "views"), 2.0)
+		})
+	}
+}
+
 func TestZeroSharedBudgetAllowsNoRetries(t *testing.T) {
 	var b retry.SharedBudget
 	now := time.Now()
