Identify client accounts by their keys

The upstream gets the name of the account and never the key; an unknown key gets 401 from a proxy whose version was confirmed, else 503. The account's priority goes before the rule's rank. Messages for confirmations, probes and quota tokens are defined, but not sent yet.

--- a/internal/conf/proxy.go
+++ b/internal/conf/proxy.go
@@ -26,6 +26,11 @@
 	Stop time.Duration `yaml:"stop" validate:"min=500ms,max=10m"`
 	// RetryLimit limits the requests that are retried at a second upstream.
 	RetryLimit RetryLimit `yaml:"repeats"`
+	// Revocation is the time after the acceptance of a version without a key from which no
+	// request with the key may run that a caller sent later; zero means no limit.
+	Revocation time.Duration `yaml:"revocation" validate:"min=0,max=10m"`
+	// Quota is the tolerance of the quotas of client accounts.
+	Quota QuotaTolerance `yaml:"quota"`
 	// Limits holds the resource limits of the proxy.
 	Limits ProxyLimits `yaml:"limits"`
 	// Log configures logging.
@@ -58,6 +63,15 @@
 	Window time.Duration `yaml:"span" validate:"min=100ms,max=10m"`
 }
 
+// QuotaTolerance is the tolerance with which the quotas of client accounts must be kept
+// by all proxies together: in each Window, an account may run (rate x Window + burst) x
+// (1 + Overage) + Slack requests. Quotas are not enforced if Window is zero.
+type QuotaTolerance struct {
+	Window  time.Duration `yaml:"window" validate:"min=0,max=10m"`
+	Overage float64       `yaml:"overage" validate:"min=0,max=10"`
+	Slack   float64       `yaml:"slack" validate:"min=0,max=1000000"`
+}
+
 // ProxyLimits holds the resource limits of a proxy.
 type ProxyLimits struct {
 	// Memory is the soft memory limit of the Go runtime in bytes, unless Process is set.
--- a/internal/ctlmsg/ctlmsg.go
+++ b/internal/ctlmsg/ctlmsg.go
@@ -157,6 +157,24 @@
 	Age time.Duration
 	// Revision is the platform revision up to which the sender knows all versions.
 	Revision uint64
+	// Verified is true if the sender has a confirmation that is dated from before the
+	// call to the platform, and VerifiedAge is its age when the heartbeat was sent.
+	Verified    bool
+	VerifiedAge time.Duration
+	// ProbeSentAt is SentAt of the latest Probe that the sender received on this link;
+	// zero if there was none.
+	ProbeSentAt time.Duration
+}
+
+// Probe is sent regularly to the parents while the age of versions or quotas matter.
+type Probe struct {
+	// SentAt is the monotonic time of the sender since a moment of its choice, above
+	// zero. Only the sender interprets it.
+	SentAt time.Duration
+	// Nodes is the number of nodes, the sender included, that get their quota tokens
+	// through the sender from the receiver; zero if the receiver is not the sender's
+	// source of tokens.
+	Nodes int
 }
 
 // Document carries one version of the routes.
@@ -200,3 +218,4 @@
 func (ReaderHeartbeat) message()   {}
 func (Document) message()          {}
 func (Roster) message()            {}
+func (Probe) message()             {}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -82,17 +82,15 @@
 		}
 	})
 	hopByHop := wire.HopByHop(connectionHeaders)
-	fields := make(map[string]string)
+	fields := make(http.Header)
 	raw.Header.VisitAll(func(key, value []byte) {
 		name, text := string(key), string(value)
-		if _, seen := fields[name]; !seen {
-			fields[name] = text
-		}
+		fields[name] = append(fields[name], text)
 		if !hopByHop.Has(name) && name != "Content-Length" && name != "Expect" {
 			request.Headers = append(request.Headers, &wire.Header{Name: name, Value: text})
 		}
 	})
-	request.HeaderValue = func(name string) string { return fields[http.CanonicalHeaderKey(name)] }
+	request.HeaderValue, request.HeaderValues = fields.Get, fields.Values
 	return request, nil
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -88,6 +88,8 @@
 	// HeaderValue returns the first value of a header, even if the header is not
 	// forwarded.
 	HeaderValue func(name string) string
+	// HeaderValues returns all values of a header, even if the header is not forwarded.
+	HeaderValues func(name string) []string
 	// Body is released once the request is handled; nil if it is empty.
 	Body *quota.Body
 	// Arrived is the time at which the header section was complete.
--- a/internal/proxy/requestlog.go
+++ b/internal/proxy/requestlog.go
@@ -102,7 +102,7 @@
 			Int("status", a.Status).Int("loadPercent", a.LoadPercent).Dur("expected", a.ExpectedLatency).Dur("took", a.Duration).Dur("atNode", a.NodeTime).Dur("work", a.ServiceTime))
 	}
 	r.logger.Info().Str("id", record.ID).Str("method", record.Method).Str("for", record.Host).Str("path", record.Path).
-		Uint64("version", uint64(record.Version)).Str("rule", record.Rule).Str("service", string(record.Service)).Int("rank", record.Rank).
+		Uint64("version", uint64(record.Version)).Str("rule", record.Rule).Str("service", string(record.Service)).Int("rank", record.Rank).Str("account", string(record.Account)).
 		Dur("allowed", record.Timeout).Dur("took", record.Duration).Int("status", record.Status).Str("reason", record.Reason).
 		Dur("retryAfter", record.RetryAfter).Bool("gone", record.Canceled).Int("attemptCount", len(record.Attempts)).
 		Array("attempts", attempts).Msg("request")
--- /dev/null
+++ b/internal/steer/account_test.go
@@ -0,0 +1,110 @@
+package steer_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/steer"
+	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/plan"
+)
+
+// accountPlan returns a version with two accounts, and a rule for requests with and
+// without keys.
+func accountPlan(t *testing.T) *plan.Plan {
+	t.Helper()
+	rule := func(prefix string, anonymous bool) *plan.Rule {
+		return &plan.Rule{
+			Name: prefix, Host: "a.example", Prefix: prefix, Rank: 1, Timeout: time.Second, MaxAttempts: 1, AllowAnonymous: anonymous,
+			Services: []plan.WeightedService{{Service: "orders", Weight: 1}},
+		}
+	}
+	built, err := plan.New(5, plan.Limits{}, []plan.Service{{Name: "orders"}}, []*plan.Rule{rule("/keyed/", false), rule("/open/", true)},
+		&plan.Account{Name: "anna", Keys: []string{"key-a1", "key-a2"}, Priority: 0}, &plan.Account{Name: "ben", Keys: []string{"key-b"}, Priority: 1})
+	assert.NilError(t, err)
+	return built
+}
+
+// TestRequestsAreIdentifiedByTheirKey guards against requests that run without a known
+// key, against keys and forged account names that reach an upstream, and against refusals
+// by a proxy whose version may be old.
+func TestRequestsAreIdentifiedByTheirKey(t *testing.T) {
+	tests := []struct {
+		name string
+		path string
+		keys []string
+		// age is the time since the version was confirmed.
+		age          time.Duration
+		wantStatus   int
+		wantReason   string
+		wantAccount  string
+		wantPriority mesh.Priority
+	}{
+		{name: "known key", path: "/keyed/1", keys: []string{"key-b"}, wantStatus: 200, wantAccount: "ben", wantPriority: mesh.Normal},
+		{name: "second key of an urgent account", path: "/keyed/1", keys: []string{"key-a2"}, wantStatus: 200, wantAccount: "anna", wantPriority: mesh.Urgent},
+		{name: "no key", path: "/keyed/1", wantStatus: 401, wantReason: steer.ReasonNoKey},
+		{name: "empty key", path: "/keyed/1", keys: []string{""}, wantStatus: 401, wantReason: steer.ReasonUnknownKey},
+		{name: "unknown key", path: "/keyed/1", keys: []string{"key-c"}, wantStatus: 401, wantReason: steer.ReasonUnknownKey},
+		{name: "two keys", path: "/keyed/1", keys: []string{"key-b", "key-a1"}, wantStatus: 401, wantReason: steer.ReasonUnknownKey},
+		{name: "two keys in one header", path: "/keyed/1", keys: []string{"key-b, key-a1"}, wantStatus: 401, wantReason: steer.ReasonUnknownKey},
+		{name: "unknown key and an old version", path: "/keyed/1", keys: []string{"key-c"}, age: time.Minute, wantStatus: 503, wantReason: steer.ReasonVersionUnconfirmed},
+		{name: "no key and an old version", path: "/keyed/1", age: time.Minute, wantStatus: 503, wantReason: steer.ReasonVersionUnconfirmed},
+		{name: "anonymous request", path: "/open/1", wantStatus: 200, wantPriority: mesh.Normal},
+		{name: "known key where none is required", path: "/open/1", keys: []string{"key-b"}, wantStatus: 200, wantAccount: "ben", wantPriority: mesh.Normal},
+		{name: "unknown key where none is required", path: "/open/1", keys: []string{"key-c"}, wantStatus: 200, wantPriority: mesh.Normal},
+		{name: "unknown path with an unknown key", path: "/other/1", keys: []string{"key-c"}, wantStatus: 404, wantReason: steer.ReasonNoRule},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			caller := &scriptedCaller{results: []callResult{{status: http.StatusOK}}}
+			r, recorded := newRouter(t, plan.Idempotent, 1, caller)
+			source := r.Snapshots.(fixedSnapshot)
+			source.age, source.snapshot.Plan = tt.age, accountPlan(t)
+			r.Snapshots = source
+			headers := http.Header{"Key": tt.keys, "Account": {"forged"}}
+			request := &front.Request{Method: "GET", Host: "a.example", Path: tt.path, Target: tt.path, Arrived: time.Now(), HeaderValue: headers.Get, HeaderValues: headers.Values}
+			for name, values := range headers {
+				for _, v := range values {
+					request.Headers = append(request.Headers, &wire.Header{Name: name, Value: v})
+				}
+			}
+			response := r.Handle(t.Context(), request)
+			assert.Equal(t, response.Status, tt.wantStatus)
+			assert.Equal(t, recorded.last.Reason, tt.wantReason)
+			assert.Equal(t, string(recorded.last.Account), tt.wantAccount)
+			if tt.wantStatus != http.StatusOK {
+				assert.Equal(t, len(caller.calls), 0)
+				return
+			}
+			sent := make(http.Header)
+			for _, h := range caller.calls[0].GetHeaders() {
+				sent.Add(h.GetName(), h.GetValue())
+			}
+			assert.Equal(t, sent.Get("Key"), "")
+			assert.Equal(t, sent.Get("Account"), tt.wantAccount)
+			assert.Assert(t, len(sent.Values("Account")) <= 1)
+			assert.Equal(t, caller.calls[0].GetAccount(), tt.wantAccount)
+			assert.Equal(t, mesh.Priority(caller.calls[0].GetPriority()), tt.wantPriority)
+		})
+	}
+}
+
+// TestHeadersPassWithoutAccounts guards the meshes whose versions have no accounts: there,
+// the headers that identify accounts are headers like any other.
+func TestHeadersPassWithoutAccounts(t *testing.T) {
+	caller := &scriptedCaller{results: []callResult{{status: http.StatusOK}}}
+	r, _ := newRouter(t, plan.Idempotent, 1, caller)
+	request := &front.Request{Method: "GET", Host: "a.example", Path: "/o/1", Target: "/o/1", Arrived: time.Now(), HeaderValue: http.Header{}.Get}
+	request.Headers = []*wire.Header{{Name: "Key", Value: "x"}, {Name: "Account", Value: "y"}}
+	assert.Equal(t, r.Handle(t.Context(), request).Status, http.StatusOK)
+	var names []string
+	for _, h := range caller.calls[0].GetHeaders() {
+		names = append(names, h.GetName())
+	}
+	assert.DeepEqual(t, names, []string{"Key", "Account", "origin"})
+}
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -27,7 +27,11 @@
 	// ReasonVersionUnconfirmed means that no rule matches, but that the version in force
 	// may not be the newest.
 	ReasonVersionUnconfirmed = "version-unconfirmed"
-	ReasonBadHeader          = "bad-header"
+	// ReasonNoKey and ReasonUnknownKey mean that the rule requires the key of a client
+	// account, and that the request has none, or not exactly one that is known.
+	ReasonNoKey      = "no-key"
+	ReasonUnknownKey = "unknown-key"
+	ReasonBadHeader  = "bad-header"
 	// ReasonNoService means that all services of the rule have weight zero.
 	ReasonNoService = "no-service"
 	// ReasonStopping means that this process may end before the request would.
@@ -263,6 +267,8 @@
 	Rule    string
 	Service mesh.Service
 	Rank    int
+	// Account is empty if the request is anonymous.
+	Account mesh.Account
 	Arrived time.Time
 	// Timeout is the time allowed for the request, and Duration the time it took.
 	Timeout, Duration time.Duration
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -64,6 +64,13 @@
 	OriginHeader(service mesh.Service) (name, value string)
 	// RequestIDHeader returns the response header with the ID of the caller's attempt.
 	RequestIDHeader(id string) (name, value string)
+	// Keys returns the keys of client accounts that the caller sent.
+	Keys(values func(name string) []string) []string
+	// IdentifiesAccount reports whether the header identifies a client account. It is
+	// not forwarded if the version in force has accounts.
+	IdentifiesAccount(name string) bool
+	// AccountHeader returns the header that tells an upstream the account of the caller.
+	AccountHeader(account mesh.Account) (name, value string)
 }
 
 // Recorder receives the record of each finished request. It must not block.
@@ -108,9 +115,11 @@
 
 // requestState is the state of one request while it is processed.
 type requestState struct {
-	request  *front.Request
-	record   RequestRecord
-	rule     *plan.Rule
+	request *front.Request
+	record  RequestRecord
+	rule    *plan.Rule
+	// account is the client account of the request; nil if it is anonymous.
+	account  *plan.Account
 	service  mesh.Service
 	snapshot cells.ProxySnapshot
 	// tried lists the hosts of the attempts so far.
@@ -193,6 +202,9 @@
 		return r.noRuleResponse(rs)
 	}
 	rs.rule, rs.record.Rule, rs.record.Rank = rule, rule.Name, rule.Rank
+	if response := r.identify(rs); response != nil {
+		return response
+	}
 	if rs.service, found = rule.ChooseService(rand.Float64()); !found {
 		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonNoService, noVersionRetryAfter)
 	}
@@ -216,13 +228,18 @@
 // matches. While that may not be the newest version, the rule may exist, so the caller is
 // told to come back.
 func (r *Router) noRuleResponse(rs *requestState) *front.Response {
-	now := time.Now()
-	if now.Sub(r.Snapshots.LastConfirmed(now)) > maxVersionAge {
+	if !r.isConfirmed() {
 		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonVersionUnconfirmed, noVersionRetryAfter)
 	}
 	return r.localResponse(rs, http.StatusNotFound, ReasonNoRule, 0)
 }
 
+// isConfirmed reports whether the version in force was recently known to be the newest.
+func (r *Router) isConfirmed() bool {
+	now := time.Now()
+	return now.Sub(r.Snapshots.LastConfirmed(now)) <= maxVersionAge
+}
+
 // waitForSnapshot waits for the first version after the start of the node, but no
 // longer than a part of the caller's timeout.
 func (r *Router) waitForSnapshot(ctx context.Context, timeout time.Duration) {
@@ -377,7 +394,7 @@
 	startWithin, maxWait := r.queueLimits(rs, typical)
 	head := &wire.CallHead{
 		Service: string(rs.service), Method: rs.request.Method, Path: rs.request.Target, Headers: r.upstreamHeaders(rs),
-		Priority: uint32(priorityOf(rs.rule.Rank)), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
+		Priority: uint32(rs.snapshot.Plan.Priority(rs.rule, rs.account)), Account: string(rs.record.Account), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
 		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
@@ -389,16 +406,16 @@
 // upstreamHeaders returns the headers that are sent to the upstream.
 func (r *Router) upstreamHeaders(rs *requestState) (headers []*wire.Header) {
 	headers = make([]*wire.Header, 0, len(rs.request.Headers)+1)
+	hasAccounts := rs.snapshot.Plan.HasAccounts()
 	for _, h := range rs.request.Headers {
-		if !r.Headers.IsReserved(h.GetName()) {
+		if !r.Headers.IsReserved(h.GetName()) && !(hasAccounts && r.Headers.IdentifiesAccount(h.GetName())) {
 			headers = append(headers, h)
 		}
 	}
+	if rs.account != nil {
+		name, value := r.Headers.AccountHeader(rs.account.Name)
+		headers = append(headers, &wire.Header{Name: name, Value: value})
+	}
 	name, value := r.Headers.OriginHeader(r.Service())
 	return append(headers, &wire.Header{Name: name, Value: value})
 }
-
-// priorityOf returns the priority of a rank. Rank 0 is the most urgent.
-func priorityOf(rank int) mesh.Priority {
-	return mesh.Priority(max(0, int(mesh.Urgent)-rank))
-}
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -48,10 +48,15 @@
 	return "origin", string(service)
 }
 func (headerCodec) RequestIDHeader(id string) (name, value string) { return "id", id }
-func (f fixedSnapshot) Snapshot() cells.ProxySnapshot              { return f.snapshot }
-func (f fixedSnapshot) Ready() <-chan struct{}                     { return f.ready }
-func (f fixedSnapshot) LastConfirmed(now time.Time) time.Time      { return now.Add(-f.age) }
-func (e *recorder) Record(record steer.RequestRecord)              { e.last = record }
+func (headerCodec) Keys(values func(string) []string) []string     { return values("Key") }
+func (headerCodec) IdentifiesAccount(name string) bool             { return name == "Key" || name == "Account" }
+func (headerCodec) AccountHeader(account mesh.Account) (name, value string) {
+	return "Account", string(account)
+}
+func (f fixedSnapshot) Snapshot() cells.ProxySnapshot         { return f.snapshot }
+func (f fixedSnapshot) Ready() <-chan struct{}                { return f.ready }
+func (f fixedSnapshot) LastConfirmed(now time.Time) time.Time { return now.Add(-f.age) }
+func (e *recorder) Record(record steer.RequestRecord)         { e.last = record }
 func (noLocalUpstream) Call(context.Context, *peer.Call) (*peer.Reply, error) {
 	panic("unexpected call of the local upstream")
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -15,6 +15,9 @@
 // maxRelaySlot is the highest slot number accepted in an Invite message.
 const maxRelaySlot = 1024
 
+// maxProbeNodes is the largest number of nodes accepted in a Probe message.
+const maxProbeNodes = 1 << 20
+
 // EncodeControl converts a message to its wire form.
 func EncodeControl(message ctlmsg.Message) *Control {
 	switch m := message.(type) {
@@ -39,7 +42,9 @@
 	case ctlmsg.Subscribe:
 		return &Control{Body: &Control_Want{Want: &Want{Version: uint64(m.Version)}}}
 	case ctlmsg.ReaderHeartbeat:
-		return &Control{Body: &Control_Pulse{Pulse: &Pulse{Version: uint64(m.Version), Reached: m.Current, AgeMicros: m.Age.Microseconds(), Revision: m.Revision}}}
+		return &Control{Body: &Control_Pulse{Pulse: encodeReaderHeartbeat(m)}}
+	case ctlmsg.Probe:
+		return &Control{Body: &Control_Probe{Probe: &Probe{SentMicros: m.SentAt.Microseconds(), Nodes: uint32(m.Nodes)}}}
 	case ctlmsg.Document:
 		return &Control{Body: &Control_Document{Document: &Document{
 			Version: uint64(m.Version), Base: uint64(m.Base), Packed: m.Compressed,
@@ -84,10 +89,12 @@
 	case *Control_Want:
 		return ctlmsg.Subscribe{Version: mesh.Version(b.Want.GetVersion())}, nil
 	case *Control_Pulse:
-		return ctlmsg.ReaderHeartbeat{
-			Version: mesh.Version(b.Pulse.GetVersion()), Current: b.Pulse.GetReached(),
-			Age: time.Duration(max(0, b.Pulse.GetAgeMicros())) * time.Microsecond, Revision: b.Pulse.GetRevision(),
-		}, nil
+		return decodeReaderHeartbeat(b.Pulse), nil
+	case *Control_Probe:
+		if b.Probe.GetSentMicros() <= 0 || b.Probe.GetNodes() > maxProbeNodes {
+			return nil, fmt.Errorf("probe sent at %d for %d nodes", b.Probe.GetSentMicros(), b.Probe.GetNodes())
+		}
+		return ctlmsg.Probe{SentAt: time.Duration(b.Probe.GetSentMicros()) * time.Microsecond, Nodes: int(b.Probe.GetNodes())}, nil
 	case *Control_Document:
 		return ctlmsg.Document{
 			Version: mesh.Version(b.Document.GetVersion()), Base: mesh.Version(b.Document.GetBase()), Compressed: b.Document.GetPacked(),
@@ -99,6 +106,25 @@
 	}
 }
 
+func encodeReaderHeartbeat(m ctlmsg.ReaderHeartbeat) *Pulse {
+	pulse := &Pulse{
+		Version: uint64(m.Version), Reached: m.Current, AgeMicros: m.Age.Microseconds(), Revision: m.Revision, ProbeMicros: m.ProbeSentAt.Microseconds(),
+	}
+	if m.Verified {
+		pulse.VerifiedAgeMicros = m.VerifiedAge.Microseconds() + 1
+	}
+	return pulse
+}
+
+func decodeReaderHeartbeat(p *Pulse) ctlmsg.ReaderHeartbeat {
+	return ctlmsg.ReaderHeartbeat{
+		Version: mesh.Version(p.GetVersion()), Current: p.GetReached(),
+		Age: time.Duration(max(0, p.GetAgeMicros())) * time.Microsecond, Revision: p.GetRevision(),
+		Verified: p.GetVerifiedAgeMicros() > 0, VerifiedAge: time.Duration(max(0, p.GetVerifiedAgeMicros())) * time.Microsecond,
+		ProbeSentAt: time.Duration(max(0, p.GetProbeMicros())) * time.Microsecond,
+	}
+}
+
 func encodeAddress(address netip.AddrPort) []byte {
 	data, _ := address.MarshalBinary()
 	return data
--- a/pkg/mesh/names.go
+++ b/pkg/mesh/names.go
@@ -22,6 +22,9 @@
 // Service is the name of a service, unique within its customer.
 type Service string
 
+// Account is the name of a client account, which identifies itself by a key.
+type Account string
+
 // HostID identifies an upstream host and the node that runs on it.
 type HostID string
 
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -73,6 +73,8 @@
 	MaxAttempts int
 	// Services are the receivers of the requests; never empty.
 	Services []WeightedService
+	// AllowAnonymous is true if requests need no key even if the version has accounts.
+	AllowAnonymous bool
 }
 
 // ChooseService returns a service at random in proportion to the weights. The caller
@@ -124,6 +126,7 @@
 	// rulesByHost maps the host in lower case, then the prefix, to the rule.
 	rulesByHost map[string]map[string]*Rule
 	rules       []*Rule
+	accounts    accounts
 }
 
 // InvalidError means that a version is invalid.
@@ -139,9 +142,10 @@
 // Unwrap returns why the version is invalid.
 func (e *InvalidError) Unwrap() error { return e.Err }
 
-// New returns the plan of a version. One invalid rule makes the whole version
-// invalid, and the error names it. Errors are of type *InvalidError.
-func New(version mesh.Version, limits Limits, services []Service, rules []*Rule) (built *Plan, err error) {
+// New returns the plan of a version. One invalid rule or account makes the whole
+// version invalid, and the error names it. Errors are of type *InvalidError and contain
+// no keys.
+func New(version mesh.Version, limits Limits, services []Service, rules []*Rule, accounts ...*Account) (built *Plan, err error) {
 	defer func() {
 		if err != nil {
 			built, err = nil, &InvalidError{Version: version, Err: err}
@@ -168,6 +172,9 @@
 			return nil, fmt.Errorf("rule %q of host %q: %w", r.Name, r.Host, err)
 		}
 	}
+	if built.accounts, err = newAccounts(accounts); err != nil {
+		return nil, err
+	}
 	return built, nil
 }
 
