--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -66,6 +66,8 @@
 	Tree board.Cell[*fleet.Tree]
 	// Freshness tells when this proxy's versions and records were last known to be current.
 	Freshness board.Cell[Freshness]
+	// TokenSource is the parent from which this proxy gets quota tokens.
+	TokenSource board.Cell[TokenSource]
 	// ActiveVersion is the version in force.
 	ActiveVersion board.Cell[ActiveVersion]
 	// Snapshot is the state that traffic threads read.
@@ -85,6 +87,27 @@
 	StartedAt time.Time
 	// Heartbeat is the usual interval between reports of the upstream.
 	Heartbeat time.Duration
+	// Revocation is the time after the acceptance of a version without a key from which
+	// no later request with the key may run; zero for no limit.
+	Revocation time.Duration
+	// EnforceQuotas is true if the quotas of client accounts are enforced.
+	EnforceQuotas bool
+}
+
+// TokenSource tells where a proxy gets quota tokens. The zero TokenSource means nowhere.
+type TokenSource struct {
+	// Host is the parent that passes tokens on; empty if there is none, or if this proxy
+	// is the owner of the buckets.
+	Host mesh.HostID
+	// Address is the address at which Host accepts sessions; invalid if Host is empty.
+	Address netip.AddrPort
+	// Nodes is the number of nodes, this one included, that get their tokens through
+	// this proxy. It is reported to Host in probes.
+	Nodes int
+	// Owner is true if this proxy holds the buckets, and Share the fraction of the rate
+	// at which it fills them, within 0 and 1.
+	Owner bool
+	Share float64
 }
 
 // PendingReport is a report of the upstream that is not acknowledged yet.
@@ -162,6 +185,10 @@
 	ConfirmedAt time.Time
 	// Revision is the platform revision up to which all versions are known.
 	Revision uint64
+	// VerifiedAt is the latest time of which it is certain that every version accepted
+	// before it is known here; zero if there is none. Unlike ConfirmedAt, it is dated from
+	// before the call to the platform, and includes the time on the way from a reader.
+	VerifiedAt time.Time
 }
 
 // LastConfirmed returns the time at which the data was last known to be current; zero if
@@ -205,5 +232,7 @@
 	// ServiceShare is the fraction of the upstreams in CandidateSets that serve the
 	// service of LocalUpstream.
 	ServiceShare float64
-	Phase        Phase
+	// Tokens tells where this proxy gets quota tokens.
+	Tokens TokenSource
+	Phase  Phase
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -237,6 +237,7 @@
 	p.cells.Self.Set(cells.ProxySelf{
 		Host: settings.Host, Place: p.place(), Address: p.announcedAddr(),
 		LinkRate: int64(settings.Limits.Link * bytesPerMegabit), StartedAt: p.startedAt, Heartbeat: settings.Heartbeat,
+		Revocation: settings.Revocation, EnforceQuotas: settings.Quota.Window > 0,
 	})
 	p.cells.LinkCommands.Handle = p.links.Execute
 	p.cells.ObjectCommands.Handle = p.objects.Handle
