--- a/internal/steer/account_test.go
+++ b/internal/steer/account_test.go
@@ -102,7 +102,7 @@
 	request := &front.Request{Method: "GET", Host: "a.example", Path: "/o/1", Target: "/o/1", Arrived: time.Now(), HeaderValue: http.Header{}.Get}
 	request.Headers = []*wire.Header{{Name: "Key", Value: "x"}, {Name: "Account", Value: "y"}}
 	assert.Equal(t, r.Handle(t.Context(), request).Status, http.StatusOK)
-	var names []string
+	names := make([]string, 0, len(caller.calls[0].GetHeaders()))
 	for _, h := range caller.calls[0].GetHeaders() {
 		names = append(names, h.GetName())
 	}
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -408,9 +408,10 @@
 	headers = make([]*wire.Header, 0, len(rs.request.Headers)+1)
 	hasAccounts := rs.snapshot.Plan.HasAccounts()
 	for _, h := range rs.request.Headers {
-		if !r.Headers.IsReserved(h.GetName()) && !(hasAccounts && r.Headers.IdentifiesAccount(h.GetName())) {
-			headers = append(headers, h)
+		if r.Headers.IsReserved(h.GetName()) || hasAccounts && r.Headers.IdentifiesAccount(h.GetName()) {
+			continue
 		}
+		headers = append(headers, h)
 	}
 	if rs.account != nil {
 		name, value := r.Headers.AccountHeader(rs.account.Name)
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -50,6 +50,7 @@
 func (headerCodec) RequestIDHeader(id string) (name, value string) { return "id", id }
 func (headerCodec) Keys(values func(string) []string) []string     { return values("Key") }
 func (headerCodec) IdentifiesAccount(name string) bool             { return name == "Key" || name == "Account" }
+
 func (headerCodec) AccountHeader(account mesh.Account) (name, value string) {
 	return "Account", string(account)
 }
