Keep the keys of accounts out of pages and errors

GET /version showed the operator's document with all keys: found by TestKeysAreNeverShown, which looks for them in logs, /status, /metrics and /version, with known and unknown keys and refused documents. The page now has the number of keys of each account in their place.

--- a/internal/cmds/proxy.go
+++ b/internal/cmds/proxy.go
@@ -72,7 +72,7 @@
 func newPlatform() proxy.Platform {
 	return proxy.Platform{
 		Objects: platform.ObjectCodec{}, VersionKind: platform.ConfigKind, RecordKind: platform.NodeKind,
-		DecodePlan: platform.DecodePlan, Headers: platform.HeaderCodec{}, Registrations: platform.RegistrationCodec{},
+		DecodePlan: platform.DecodePlan, RedactPlan: platform.RedactConfig, Headers: platform.HeaderCodec{}, Registrations: platform.RegistrationCodec{},
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -95,8 +95,11 @@
 	// document and the records of the nodes.
 	VersionKind, RecordKind string
 	DecodePlan              func(data []byte) (*plan.Plan, error)
-	Headers                 HeaderCodec
-	Registrations           RegistrationCodec
+	// RedactPlan returns the operator's document without keys of accounts, for pages
+	// that show it; nil if documents contain no secrets.
+	RedactPlan    func(data []byte) ([]byte, error)
+	Headers       HeaderCodec
+	Registrations RegistrationCodec
 }
 
 // Proxy is a running proxy. It is created by Start.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -40,6 +40,8 @@
 
 // testMesh is a platform with several proxies and an upstream for each.
 type testMesh struct {
+	// logger is used by all proxies.
+	logger  zerolog.Logger
 	objects *objapi.Server
 	client  *store.Client
 	proxies []*testProxy
@@ -64,12 +66,18 @@
 
 // newMesh starts one proxy for each of the services.
 func newMesh(t *testing.T, services ...string) *testMesh {
-	m := &testMesh{objects: new(objapi.Server)}
+	return newMeshWithDocument(t, zerolog.Nop(), newDocument(1, "/o/", "orders"), services...)
+}
+
+// newMeshWithDocument starts one proxy for each of the services, with the document as the
+// first version.
+func newMeshWithDocument(t *testing.T, logger zerolog.Logger, document []byte, services ...string) *testMesh {
+	m := &testMesh{logger: logger, objects: new(objapi.Server)}
 	assert.NilError(t, m.objects.Start(anyPort))
 	t.Cleanup(func() { assert.NilError(t, m.objects.Stop(context.Background())) })
 	m.client = store.New(store.Options{Address: m.objects.Addr(), Host: "operator", RateLimiter: &store.RateLimiter{Rate: 1000, Burst: 1000}})
 	t.Cleanup(m.client.Close)
-	_, err := m.client.Create(t.Context(), "config/main", newDocument(1, "/o/", "orders"))
+	_, err := m.client.Create(t.Context(), "config/main", document)
 	assert.NilError(t, err)
 	for i, service := range services {
 		m.addProxy(t, i, service)
@@ -113,8 +121,8 @@
 	var err error
 	p.proxy, err = proxy.Start(settings, proxy.Platform{
 		Objects: store.KeyValueCodec{}, VersionKind: "config", RecordKind: "nodes",
-		DecodePlan: platform.DecodePlan, Headers: platform.HeaderCodec{}, Registrations: platform.RegistrationCodec{},
-	}, zerolog.Nop())
+		DecodePlan: platform.DecodePlan, RedactPlan: platform.RedactConfig, Headers: platform.HeaderCodec{}, Registrations: platform.RegistrationCodec{},
+	}, m.logger)
 	assert.NilError(t, err)
 }
 
--- a/internal/proxy/registration.go
+++ b/internal/proxy/registration.go
@@ -53,10 +53,23 @@
 		c.JSON(http.StatusOK, p.Status())
 	})
 	engine.GET("/version", func(_ context.Context, c *app.RequestContext) {
-		c.Data(http.StatusOK, "application/json", p.cells.ActiveVersion.Load().Document)
+		p.showVersion(c)
 	})
 }
 
+// showVersion answers with the document of the version in force, without secrets.
+func (p *Proxy) showVersion(c *app.RequestContext) {
+	document := p.cells.ActiveVersion.Load().Document
+	if redact := p.platform.RedactPlan; redact != nil && document != nil {
+		var err error
+		if document, err = redact(document); err != nil {
+			c.AbortWithMsg("the document cannot be shown", http.StatusInternalServerError)
+			return
+		}
+	}
+	c.Data(http.StatusOK, "application/json", document)
+}
+
 func (h *registrationHandler) register(ctx context.Context, c *app.RequestContext) {
 	report, err := h.codec.DecodeRegistration(c.Param("instance"), c.Request.Body())
 	if err == nil && !h.isKnownService(report.Service) {
--- a/pkg/plan/account_test.go
+++ b/pkg/plan/account_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -83,3 +84,29 @@
 		})
 	}
 }
+
+// BenchmarkAccountOfKey shows that a request costs no more with many keys than with few.
+func BenchmarkAccountOfKey(b *testing.B) {
+	for _, n := range []int{20, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			accounts := make([]*plan.Account, 0, n/2)
+			keys := make([]string, 0, n)
+			for i := range n / 2 {
+				pair := []string{fmt.Sprintf("key-%018d", 2*i), fmt.Sprintf("key-%018d", 2*i+1)}
+				accounts = append(accounts, &plan.Account{Name: mesh.Account(fmt.Sprint("account-", i)), Keys: pair})
+				keys = append(keys, pair...)
+			}
+			built, err := plan.New(1, plan.Limits{}, knownServices, nil, accounts...)
+			assert.NilError(b, err)
+			i := 0
+			for b.Loop() {
+				if built.AccountOfKey(keys[i]) == nil {
+					b.Fatal("unknown key")
+				}
+				if i++; i == len(keys) {
+					i = 0
+				}
+			}
+		})
+	}
+}
