Read the time of a step after its events were collected

A process that was frozen between reading the time and collecting the posted events handled events that were later than its time. A reader would then report the age of its confirmation as of a time before it received the probe that it echoes, and the receiver would take an old confirmation for a recent one.

Measured: go test ./pkg/board passes.

--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -89,7 +89,10 @@
 		case <-b.wakeup:
 		case <-timer.C:
 		}
-		next := b.Settle(time.Now())
+		// The time is read after the events were collected. If the process is frozen
+		// between the two, no event is later than the time at which it is handled.
+		b.collect()
+		next := b.settleCollected(time.Now())
 		timer.Stop()
 		if !next.IsZero() {
 			timer.Reset(time.Until(next))
@@ -101,9 +104,17 @@
 // reads changed until none remains, then flushes the outboxes. It returns the
 // time of the earliest alarm, or zero if no alarm is set.
 func (b *Board) Settle(now time.Time) (next time.Time) {
+	b.collect()
+	return b.settleCollected(now)
+}
+
+func (b *Board) collect() {
 	for _, i := range b.inboxes {
 		i.collect()
 	}
+}
+
+func (b *Board) settleCollected(now time.Time) (next time.Time) {
 	for _, a := range b.alarms {
 		a.fire(now)
 	}
