Apply the newest of several versions whatever their order

The platform may report changes in any order, and of versions 3 and 2 in this order the older one was put in force and the newer one passed over for good. That matters more now: a response confirms that all versions before it are known.

--- a/internal/ctrl/versionapplier.go
+++ b/internal/ctrl/versionapplier.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -39,8 +40,10 @@
 		if e.Kind != cells.VersionObjects || e.Result != cells.StoreDone {
 			continue
 		}
-		// Of several versions, only the newest that can be decoded is put in force.
-		for _, o := range slices.Backward(e.Objects) {
+		// Of several versions, only the newest that can be decoded is put in force. The
+		// platform may report changes in any order.
+		byVersion := slices.SortedStableFunc(slices.Values(e.Objects), func(a, b cells.Object) int { return cmp.Compare(a.Version, b.Version) })
+		for _, o := range slices.Backward(byVersion) {
 			if o.Name == documentName && !o.Deleted && v.apply(o.Value, "", now) {
 				break
 			}
