Date the confirmations of versions, also through the tree of readers

The age in a heartbeat leaves out the time on the way, and the date of a watch was that of its response. A proxy behind a stalled link, a slow store or after a suspension could not know how old its version is, and would run requests with a revoked key.

depot dates watches and lists from before the call. A response that the control thread can't take is requested again, since a later one would confirm a change that was lost.

--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -7,6 +7,7 @@
 
 	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
 // ObjectKind is a kind of objects that proxies read and write in the platform.
@@ -76,6 +77,10 @@
 	Objects  []Object
 	// Revision is the platform revision up to which Objects is complete.
 	Revision uint64
+	// CalledAt is a moment before the call that this responds to; set for WatchObjects if
+	// Result is StoreDone. Objects contains every change accepted before it that earlier
+	// events of the kind did not report.
+	CalledAt verify.Moment
 	// Current is the object after the write, or the one that caused a conflict; its
 	// Version is zero if it is not known.
 	Current Object
--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -9,6 +9,7 @@
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
 // Proxy is the blackboard of one proxy. The platform stores the configuration of a
@@ -65,6 +66,7 @@
 	// Tree determines which nodes receive versions and records from which others.
 	Tree board.Cell[*fleet.Tree]
 	// Freshness tells when this proxy's versions and records were last known to be current.
+	// The verifier writes VerifiedAt and SuspendedBefore, the sourceSelector the rest.
 	Freshness board.Cell[Freshness]
 	// TokenSource is the parent from which this proxy gets quota tokens.
 	TokenSource board.Cell[TokenSource]
@@ -189,6 +191,14 @@
 	// before it is known here; zero if there is none. Unlike ConfirmedAt, it is dated from
 	// before the call to the platform, and includes the time on the way from a reader.
 	VerifiedAt time.Time
+	// SuspendedBefore is the time for which the machine had been suspended when VerifiedAt
+	// was determined. What was added to it since then adds to the age of VerifiedAt.
+	SuspendedBefore time.Duration
+}
+
+// Verified returns the confirmation that VerifiedAt dates; zero if there is none.
+func (f Freshness) Verified() verify.Moment {
+	return verify.Moment{Time: f.VerifiedAt, Suspended: f.SuspendedBefore}
 }
 
 // LastConfirmed returns the time at which the data was last known to be current; zero if
--- a/internal/ctrl/proxy.go
+++ b/internal/ctrl/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/ctlmsg"
@@ -23,9 +24,14 @@
 	Decompress(compressed, base []byte) ([]byte, error)
 }
 
+// SuspensionClock tells for how long the machine has been suspended since a fixed moment.
+type SuspensionClock interface {
+	Suspended() time.Duration
+}
+
 // AddProxy adds the controllers of a proxy to the board, in the order of their
 // dependencies. The source provides the jitter of all delays.
-func AddProxy(b *board.Board, proxy *cells.Proxy, codec Codec, source rand.Source) {
+func AddProxy(b *board.Board, proxy *cells.Proxy, codec Codec, clock SuspensionClock, source rand.Source) {
 	controllers := []board.Controller{
 		newPlatformStatus(proxy),
 		newHandshake(proxy),
@@ -34,10 +40,12 @@
 		newRecordWriter(proxy, source),
 		newSourceSelector(proxy),
 		newVersionApplier(proxy, codec),
-		newPublisher(proxy, codec),
+		newPublisher(proxy, codec, clock),
 		newSweeper(proxy),
 		newProxyLifecycle(proxy),
 		newProxySnapshotBuilder(proxy),
+		newVerifier(proxy, clock),
+		newProber(proxy, clock),
 		newProxyLog(proxy),
 		newTick(&proxy.MetricsTicks),
 	}
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -35,9 +35,12 @@
 
 // testCodec decodes documents that consist of a version number, and "invalid" for a version
 // with an invalid rule. It does not compress.
-type testCodec struct{}
+type testCodec struct {
+	// accounts are those of all versions.
+	accounts []*plan.Account
+}
 
-func (testCodec) DecodePlan(data []byte) (*plan.Plan, error) {
+func (c testCodec) DecodePlan(data []byte) (*plan.Plan, error) {
 	number, invalid := strings.CutSuffix(string(data), " invalid")
 	version, err := strconv.ParseUint(number, 10, 64)
 	if err != nil {
@@ -47,7 +50,7 @@
 	if invalid {
 		rules = append(rules, &plan.Rule{})
 	}
-	return plan.New(mesh.Version(version), plan.Limits{}, []plan.Service{{Name: "orders", HealthPath: "/serves"}}, rules)
+	return plan.New(mesh.Version(version), plan.Limits{}, []plan.Service{{Name: "orders", HealthPath: "/serves"}}, rules, c.accounts...)
 }
 
 func (testCodec) DecodeNode(data []byte) (fleet.Node, error) {
@@ -86,6 +89,7 @@
 	versions []mesh.Version
 	// healthChecks is the number of health checks of the upstream.
 	healthChecks int
+	simClock
 }
 
 // simLink is a link between two processes. Messages arrive at the next step.
@@ -94,6 +98,8 @@
 	dialer, acceptor *simProxy
 	// silent is true while messages are lost.
 	silent bool
+	// delay is the time by which messages arrive later.
+	delay time.Duration
 }
 
 // sim simulates a platform, a network and proxies in virtual time.
@@ -113,10 +119,15 @@
 	// healthInstances contains the instance that answers health checks on a host. On
 	// hosts that are not listed, the instance that sends the reports answers.
 	healthInstances map[mesh.HostID]string
+	simRevocation
 }
 
 func newSim(t *testing.T, hosts int) *sim {
-	s := &sim{t: t, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), objects: map[cells.ObjectKind]map[string]cells.Object{
+	return startSim(t, hosts, simRevocation{})
+}
+
+func startSim(t *testing.T, hosts int, revocation simRevocation) *sim {
+	s := &sim{t: t, simRevocation: revocation, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), objects: map[cells.ObjectKind]map[string]cells.Object{
 		cells.VersionObjects: {}, cells.RecordObjects: {},
 	}}
 	s.write(cells.VersionObjects, "main", []byte("1"))
@@ -143,12 +154,12 @@
 
 // start starts a process of the host.
 func (s *sim) start(host mesh.HostID, nearPlatform bool) *simProxy {
-	p := &simProxy{host: host, cells: &cells.Proxy{}, watched: make(map[cells.ObjectKind]uint64)}
+	p := &simProxy{host: host, cells: &cells.Proxy{}, watched: make(map[cells.ObjectKind]uint64), simClock: simClock{offset: s.clockOffset(host)}}
 	rtt := farRTT
 	if nearPlatform {
 		rtt = nearRTT
 	}
-	p.cells.Self.Set(cells.ProxySelf{Host: host, Place: placeOf(host, nearPlatform), Address: addressOf(host), StartedAt: s.now, Heartbeat: time.Second})
+	p.cells.Self.Set(cells.ProxySelf{Host: host, Place: placeOf(host, nearPlatform), Address: addressOf(host), StartedAt: p.local(s.now).Time, Heartbeat: time.Second, Revocation: s.revocation})
 	p.cells.LinkCommands.Handle = func(c cells.LinkCommand) { s.pending = append(s.pending, func() { s.handleLinkCommand(p, c) }) }
 	p.cells.ObjectCommands.Handle = func(c cells.ObjectCommand) {
 		s.pending = append(s.pending, func() { s.handleObjectCommand(p, c, rtt) })
@@ -170,7 +181,7 @@
 	}
 	p.cells.LogEvents.Handle = func(cells.LogEvent) {}
 	p.cells.MetricsTicks.Handle = func(time.Time) {}
-	AddProxy(&p.board, p.cells, testCodec{}, rand.NewPCG(1, uint64(len(host))))
+	AddProxy(&p.board, p.cells, s.codec(), &p.simClock, rand.NewPCG(1, uint64(len(host))))
 	s.proxies = append(s.proxies, p)
 	return p
 }
@@ -219,7 +230,7 @@
 				if receiver == p {
 					receiver = l.dialer
 				}
-				receiver.cells.LinkEvents.Post(cells.LinkEvent{Link: l.id, Kind: cells.LinkMessage, Message: c.Message})
+				s.deliver(receiver, l, c.Message)
 			}
 		}
 	case cells.LinkClose:
@@ -261,9 +272,11 @@
 	switch {
 	case c.Action == cells.UnwatchObjects:
 		delete(p.watched, c.Kind)
+		p.watch = nil
 		return
 	case c.Action == cells.WatchObjects:
 		p.watched[c.Kind] = c.Revision
+		p.watch = nil
 		return
 	case s.platformUnreachable(p):
 		event.Result, event.Err = cells.StoreFailed, errors.New("unreachable")
@@ -289,7 +302,7 @@
 func (s *sim) deliverChanges() {
 	for _, p := range s.proxies {
 		for kind, revision := range p.watched {
-			if s.platformUnreachable(p) || revision == s.revision {
+			if s.platformUnreachable(p) || revision == s.revision || s.simulatesCalls(kind) {
 				continue
 			}
 			event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: revision == 0, Revision: s.revision, RTT: nearRTT}
@@ -309,13 +322,14 @@
 func (s *sim) advance(d time.Duration) {
 	for deadline := s.now.Add(d); s.now.Before(deadline); s.now = s.now.Add(simStep) {
 		s.deliverChanges()
+		s.runDelayed()
 		commands := s.pending
 		s.pending = nil
 		for _, f := range commands {
 			f()
 		}
 		for _, p := range s.proxies {
-			p.board.Settle(s.now)
+			s.settle(p)
 		}
 	}
 }
--- a/internal/ctrl/publisher.go
+++ b/internal/ctrl/publisher.go
@@ -8,6 +8,7 @@
 	"arbutusstep.example/arbutusstep/internal/ctlmsg"
 	"arbutusstep.example/arbutusstep/pkg/board"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
 const (
@@ -28,10 +29,15 @@
 type publisher struct {
 	*cells.Proxy
 	codec Codec
+	clock SuspensionClock
 	alarm board.Alarm
 	// lastHeartbeatAt is when the last heartbeats were sent, and lastConfirmed the
 	// confirmation that they passed on.
 	lastHeartbeatAt, lastConfirmed time.Time
+	// lastVerifiedAt is VerifiedAt as the last heartbeats passed it on.
+	lastVerifiedAt time.Time
+	// probes holds SentAt of the latest probe that was received on each link.
+	probes map[cells.LinkID]time.Duration
 	// subscribers holds what has been sent on each subscribed link.
 	subscribers map[cells.LinkID]*subscriber
 	// baseVersions holds recent versions, the oldest first.
@@ -49,13 +55,14 @@
 	rosterPosition int
 }
 
-func newPublisher(proxy *cells.Proxy, codec Codec) board.Controller {
+func newPublisher(proxy *cells.Proxy, codec Codec, clock SuspensionClock) board.Controller {
 	p := &publisher{
-		Proxy: proxy, codec: codec, subscribers: make(map[cells.LinkID]*subscriber), compressed: make(map[mesh.Version][]byte),
+		Proxy: proxy, codec: codec, clock: clock, probes: make(map[cells.LinkID]time.Duration), subscribers: make(map[cells.LinkID]*subscriber), compressed: make(map[mesh.Version][]byte),
 	}
 	return board.Controller{
 		Name:   "publisher",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ActiveVersion, &proxy.Roster, &proxy.Freshness, &p.alarm},
+		Uses:   []board.Ref{&proxy.Self},
 		Writes: []board.Ref{&proxy.LinkCommands, &proxy.LogEvents, &p.alarm},
 		Step:   p.step,
 	}
@@ -78,8 +85,12 @@
 func (p *publisher) handleEvent(e cells.LinkEvent) {
 	if e.Kind == cells.LinkDown {
 		delete(p.subscribers, e.Link)
+		delete(p.probes, e.Link)
 		return
 	}
+	if probe, ok := e.Message.(ctlmsg.Probe); ok {
+		p.probes[e.Link] = probe.SentAt
+	}
 	request, ok := e.Message.(ctlmsg.Subscribe)
 	if !ok {
 		return
@@ -181,7 +192,9 @@
 // earlier if there is a later confirmation to pass on.
 func (p *publisher) sendHeartbeatsWhenDue(now time.Time) {
 	interval := readerHeartbeatInterval
-	if freshness := p.Freshness.Get(); !freshness.Direct && freshness.ConfirmedAt.After(p.lastConfirmed) {
+	freshness := p.Freshness.Get()
+	verified := p.Self.Get().Revocation > 0 && freshness.VerifiedAt.After(p.lastVerifiedAt)
+	if verified || !freshness.Direct && freshness.ConfirmedAt.After(p.lastConfirmed) {
 		interval = minHeartbeatInterval
 	}
 	if due := p.lastHeartbeatAt.Add(interval); now.Before(due) {
@@ -202,7 +215,16 @@
 		Version: p.ActiveVersion.Get().Plan.Version(), Current: loaded && !p.lastConfirmed.IsZero() && age < maxHeartbeatAge, Age: age,
 		Revision: p.Freshness.Get().Revision,
 	}
+	enabled := p.Self.Get().Revocation > 0
+	if verified := p.Freshness.Get().Verified(); enabled && !verified.IsZero() {
+		// The age is that of now, which is after all probes in p.probes were received.
+		message.Verified, message.VerifiedAge = true, verify.Moment{Time: now, Suspended: p.clock.Suspended()}.Sub(verified)
+		p.lastVerifiedAt = verified.Time
+	}
 	for _, l := range p.links() {
+		if enabled {
+			message.ProbeSentAt = p.probes[l]
+		}
 		proxySend(p.Proxy, l, message)
 	}
 }
--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -276,7 +276,8 @@
 
 // updateFreshness publishes when this proxy's data was last known to be current.
 func (s *sourceSelector) updateFreshness() {
-	next := cells.Freshness{Direct: s.watchesVersions && s.answered, ConfirmedAt: latest(s.Freshness.Get().ConfirmedAt, s.lastConfirmed()), Revision: s.revision}
+	next := s.Freshness.Get()
+	next.Direct, next.ConfirmedAt, next.Revision = s.watchesVersions && s.answered, latest(next.ConfirmedAt, s.lastConfirmed()), s.revision
 	if next != s.Freshness.Get() {
 		s.Freshness.Set(next)
 	}
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -16,6 +16,7 @@
 	"arbutusstep.example/arbutusstep/internal/repo"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/store"
+	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
 const (
@@ -55,6 +56,14 @@
 	Post(event cells.ObjectEvent) (posted bool)
 }
 
+// SuspensionClock tells for how long the machine has been suspended since a fixed moment.
+type SuspensionClock interface {
+	Suspended() time.Duration
+}
+
+// errEventQueueFull repeats a call whose response the control thread could not take.
+var errEventQueueFull = errors.New("event queue full")
+
 // Kinds holds the names of the object kinds in the platform.
 type Kinds struct {
 	Versions, Records string
@@ -67,6 +76,7 @@
 	kinds  Kinds
 	// rtt returns the round-trip time of connections to the platform.
 	rtt     func() time.Duration
+	clock   SuspensionClock
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -76,10 +86,10 @@
 }
 
 // New returns a driver that runs until Close is called.
-func New(objectStore ObjectStore, events EventPoster, kinds Kinds, rtt func() time.Duration) *Driver {
+func New(objectStore ObjectStore, events EventPoster, kinds Kinds, rtt func() time.Duration, clock SuspensionClock) *Driver {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Driver{
-		store: objectStore, events: events, kinds: kinds, rtt: rtt, ctx: ctx, cancel: cancel,
+		store: objectStore, events: events, kinds: kinds, rtt: rtt, clock: clock, ctx: ctx, cancel: cancel,
 		cancelWatch: make(map[cells.ObjectKind]context.CancelFunc),
 	}
 }
@@ -112,9 +122,14 @@
 	}
 }
 
-func (d *Driver) post(event cells.ObjectEvent) {
+func (d *Driver) post(event cells.ObjectEvent) (posted bool) {
 	event.RTT = d.rtt()
-	d.events.Post(event)
+	return d.events.Post(event)
+}
+
+// now returns the moment to date a call with, which must be read before it.
+func (d *Driver) now() verify.Moment {
+	return verify.Moment{Time: time.Now(), Suspended: d.clock.Suspended()}
 }
 
 func (d *Driver) prefix(kind cells.ObjectKind) string {
@@ -182,30 +197,36 @@
 func (d *Driver) list(ctx context.Context, kind cells.ObjectKind) (revision uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	calledAt := d.now()
 	objects, revision, err := d.store.List(ctx, d.prefix(kind))
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return 0, err
 	}
-	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: true, Revision: revision}
+	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: true, Revision: revision, CalledAt: calledAt}
 	for _, o := range objects {
 		event.Objects = append(event.Objects, newObject(o, false))
 	}
-	d.post(event)
+	if !d.post(event) {
+		return 0, errEventQueueFull
+	}
 	return revision, nil
 }
 
 // watch posts the next changes of a kind. It returns their number and the revision
 // from which to continue.
 func (d *Driver) watch(ctx context.Context, kind cells.ObjectKind, from uint64) (next uint64, count int, err error) {
+	calledAt := d.now()
 	changes, next, err := d.store.Watch(ctx, d.prefix(kind), from)
 	if err != nil {
 		return from, 0, err
 	}
-	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Revision: next}
+	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Revision: next, CalledAt: calledAt}
 	for _, c := range changes {
 		event.Objects = append(event.Objects, newObject(c.Object, c.Deleted))
 	}
-	d.post(event)
+	if !d.post(event) {
+		return from, 0, errEventQueueFull
+	}
 	return next, len(changes), nil
 }
 
--- a/internal/depot/driver_test.go
+++ b/internal/depot/driver_test.go
@@ -15,6 +15,7 @@
 	"arbutusstep.example/arbutusstep/internal/depot"
 	"arbutusstep.example/arbutusstep/internal/store"
 	"arbutusstep.example/arbutusstep/pkg/fleet"
+	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
 // scriptedStore is an object store that returns scripted results and records the
@@ -98,10 +99,15 @@
 	return true
 }
 
+// neverSuspended is the clock of a machine that was never suspended.
+type neverSuspended struct{}
+
+func (neverSuspended) Suspended() time.Duration { return 0 }
+
 func newDriver(s *scriptedStore) (*depot.Driver, *postedEvents) {
 	events := &postedEvents{}
 	kinds := depot.Kinds{Versions: "config", Records: "nodes"}
-	return depot.New(s, events, kinds, func() time.Duration { return 2 * time.Millisecond }), events
+	return depot.New(s, events, kinds, func() time.Duration { return 2 * time.Millisecond }, neverSuspended{}), events
 }
 
 func TestWatchRelistsOnlyWhenHistoryIsGone(t *testing.T) {
@@ -157,6 +163,75 @@
 	}
 }
 
+// suspensionClock is the clock of a machine that was suspended for some time.
+type suspensionClock struct{ suspended time.Duration }
+
+func (s *suspensionClock) Suspended() time.Duration { return s.suspended }
+
+// slowStore takes some time for each call. The machine is suspended meanwhile, and another
+// call waits.
+type slowStore struct {
+	*scriptedStore
+	clock *suspensionClock
+}
+
+func (s slowStore) List(ctx context.Context, prefix string) ([]store.Object, uint64, error) {
+	s.delay()
+	return s.scriptedStore.List(ctx, prefix)
+}
+
+func (s slowStore) Watch(ctx context.Context, prefix string, from uint64) ([]store.Event, uint64, error) {
+	s.delay()
+	return s.scriptedStore.Watch(ctx, prefix, from)
+}
+
+func (s slowStore) delay() {
+	time.Sleep(3 * time.Second)
+	s.clock.suspended += time.Minute
+}
+
+// TestResponsesAreDatedFromBeforeTheCall guards against a response that counts as being as
+// recent as its arrival: versions accepted after the call may not be in it.
+func TestResponsesAreDatedFromBeforeTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		events, clock := &postedEvents{}, &suspensionClock{}
+		objectStore := slowStore{&scriptedStore{noChanges: true, watchErrors: []error{nil, fmt.Errorf("%w: down", store.ErrUnavailable)}}, clock}
+		driver := depot.New(objectStore, events, depot.Kinds{Versions: "config"}, func() time.Duration { return 0 }, clock)
+		start := time.Now()
+		driver.Handle(cells.ObjectCommand{Action: cells.WatchObjects, Kind: cells.VersionObjects})
+		time.Sleep(9*time.Second + time.Millisecond)
+		driver.Close()
+		// The third call fails.
+		want := []verify.Moment{{Time: start}, {Time: start.Add(3 * time.Second), Suspended: time.Minute}, {}}
+		assert.Equal(t, len(events.events), len(want))
+		for i, e := range events.events {
+			assert.DeepEqual(t, e.CalledAt, want[i])
+		}
+	})
+}
+
+// TestResponsesThatCannotBeHandledAreRequestedAgain guards against a change that is lost
+// because the control thread could not take it, while a later response confirms that all
+// changes are known.
+func TestResponsesThatCannotBeHandledAreRequestedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, events := &scriptedStore{watchErrors: []error{nil, nil}}, &fullQueue{}
+		driver := depot.New(s, events, depot.Kinds{Versions: "config"}, func() time.Duration { return 0 }, neverSuspended{})
+		driver.Handle(cells.ObjectCommand{Action: cells.WatchObjects, Kind: cells.VersionObjects, Revision: 7})
+		time.Sleep(5 * time.Second)
+		driver.Close()
+		assert.DeepEqual(t, s.calls, []string{"watch config/ from 7", "watch config/ from 7", "watch config/ from 8"})
+	})
+}
+
+// fullQueue takes no event at first.
+type fullQueue struct{ offered int }
+
+func (f *fullQueue) Post(cells.ObjectEvent) bool {
+	f.offered++
+	return f.offered > 1
+}
+
 func TestDelayBetweenWatches(t *testing.T) {
 	tests := []struct {
 		name      string
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/clock"
 	"arbutusstep.example/arbutusstep/internal/conf"
 	"arbutusstep.example/arbutusstep/internal/ctrl"
 	"arbutusstep.example/arbutusstep/internal/delta"
@@ -42,6 +43,7 @@
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/plan"
 	"arbutusstep.example/arbutusstep/pkg/retry"
+	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
 const (
@@ -209,11 +211,11 @@
 	p.platformDialer.dialer = sock.Transport{UserTimeout: tcpUserTimeout, WriteCounter: &p.egressLink}
 	p.store = store.New(store.Options{
 		Address: settings.Platform, Host: settings.Host, Codec: p.platform.Objects, Dialer: &p.platformDialer,
-		Timeout: platformTimeout, WatchWait: watchWait, WatchGrace: watchGracePeriod,
+		Timeout: platformTimeout, WatchWait: verify.WatchWait(settings.Revocation, watchWait), WatchGrace: watchGracePeriod,
 		RateLimiter: &store.RateLimiter{Rate: settings.Limits.PlatformRate, Burst: platformBurst},
 	})
 	kinds := depot.Kinds{Versions: p.platform.VersionKind, Records: p.platform.RecordKind}
-	p.objects = depot.New(p.store, &p.cells.ObjectEvents, kinds, p.platformDialer.lowestRTT)
+	p.objects = depot.New(p.store, &p.cells.ObjectEvents, kinds, p.platformDialer.lowestRTT, clock.Boot{})
 	p.pool.Dialer = sock.Transport{UserTimeout: tcpUserTimeout, WriteCounter: &p.egressLink}
 	p.pool.DialTimeout, p.pool.PingTimeout = dialTimeout, pingTimeout(settings.Limits.Link)
 	p.links = links.NewDriver(&p.pool, &p.cells.LinkEvents)
@@ -246,7 +248,7 @@
 	p.cells.SnapshotUpdates.Handle = p.applySnapshot
 	p.cells.LogEvents.Handle = p.logEvent
 	p.cells.MetricsTicks.Handle = p.updateGauges
-	ctrl.AddProxy(&p.board, &p.cells, codec{p.platform.DecodePlan}, rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	ctrl.AddProxy(&p.board, &p.cells, codec{p.platform.DecodePlan}, clock.Boot{}, rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopControl = cancel
 	p.goroutines.Go(func() { p.board.Run(ctx) })
