--- a/internal/ctrl/revocation_test.go
+++ b/internal/ctrl/revocation_test.go
@@ -234,7 +234,7 @@
 func TestAgeInHeartbeatsIncludesSuspension(t *testing.T) {
 	s := newRevocationSim(t, 8)
 	root := s.directReaders()[0]
-	root.frozen, root.asleep = true, true
+	root.frozen, root.asleep, s.silentWatches = true, true, true
 	s.advance(faultTime)
 	thaw(s)
 	var first *ctlmsg.ReaderHeartbeat
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -259,6 +259,9 @@
 	settings := p.settings.Load()
 	p.router.Snapshots, p.router.Remote, p.router.Local = snapshotSource{&p.cells, p.snapshotReady}, &p.pool, &peer.LocalCaller{Handler: &p.handler}
 	p.router.Pinger = &p.pool
+	if settings.Revocation > 0 {
+		p.router.KeyGuard = keyGuard{cells: &p.cells, maxAge: verify.MaxAge(settings.Revocation)}
+	}
 	p.router.Headers, p.router.Recorder = p.platform.Headers, &p.requestLog
 	p.router.Host, p.router.Place = settings.Host, p.place()
 	p.router.Service = func() mesh.Service { return p.settings.Load().Service }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -43,6 +43,8 @@
 	objects *objapi.Server
 	client  *store.Client
 	proxies []*testProxy
+	// revocation is the setting of all proxies.
+	revocation time.Duration
 }
 
 // testProxy is a proxy with its upstream.
@@ -64,7 +66,11 @@
 
 // newMesh starts one proxy for each of the services.
 func newMesh(t *testing.T, services ...string) *testMesh {
-	m := &testMesh{objects: new(objapi.Server)}
+	return newMeshWith(t, 0, services...)
+}
+
+func newMeshWith(t *testing.T, revocation time.Duration, services ...string) *testMesh {
+	m := &testMesh{objects: new(objapi.Server), revocation: revocation}
 	assert.NilError(t, m.objects.Start(anyPort))
 	t.Cleanup(func() { assert.NilError(t, m.objects.Stop(context.Background())) })
 	m.client = store.New(store.Options{Address: m.objects.Addr(), Host: "operator", RateLimiter: &store.RateLimiter{Rate: 1000, Burst: 1000}})
@@ -110,6 +116,7 @@
 	settings.Host, settings.Region, settings.Zone = core.HostID(fmt.Sprint("h", number)), "ch-west", "lsn-a"
 	settings.Listen = conf.ProxyListen{Callers: anyPort, Nodes: anyPort, Admin: anyPort, Ready: anyPort}
 	settings.Platform, settings.Heartbeat, settings.Stop = m.objects.Addr(), time.Minute, 6*time.Second
+	settings.Revocation = m.revocation
 	var err error
 	p.proxy, err = proxy.Start(settings, proxy.Platform{
 		Objects: store.KeyValueCodec{}, VersionKind: "config", RecordKind: "nodes",
--- a/internal/proxy/requestlog.go
+++ b/internal/proxy/requestlog.go
@@ -34,7 +34,9 @@
 	metrics tally.Scope
 	// answered, refused and failed hold the latencies of requests by their result.
 	answered, refused, failed tally.Histogram
-	successes                 atomic.Uint64
+	// unverified counts the requests refused because their key may have been revoked.
+	unverified atomic.Uint64
+	successes  atomic.Uint64
 	// second is the Unix time of the current one-second window, and lines the number
 	// of lines logged in it.
 	second, lines atomic.Int64
@@ -54,6 +56,9 @@
 
 // Record implements steer.Recorder.
 func (r *requestLog) Record(record steer.RequestRecord) {
+	if record.Reason == steer.ReasonVersionUnverified {
+		r.unverified.Add(1)
+	}
 	switch {
 	case record.Reason == "":
 		r.answered.RecordDuration(record.Duration)
--- /dev/null
+++ b/internal/proxy/revocation_test.go
@@ -0,0 +1,83 @@
+package proxy_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"arbutusstep.example/arbutusstep/internal/objapi"
+)
+
+// documentWithKey returns a configuration with an account that has the key.
+func documentWithKey(version int, key string) []byte {
+	document := bytes.Replace(newDocument(version, "/o/", "orders"), []byte(`"kind":"safe"`), []byte(`"kind":"safe","allow_anonymous":true`), 1)
+	return fmt.Appendf(bytes.TrimSuffix(document, []byte("}")), `,"tenants":[{"name":"anna","api_keys":[%q]}]}`, key)
+}
+
+// sendWithKey sends a request with a key, or without one if it is empty, and returns the
+// status and the body.
+func (p *testProxy) sendWithKey(t *testing.T, key string) string {
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.proxy.Addresses().Callers.String()+"/o/x", nil)
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", "keyed")
+	if key != "" {
+		request.Header.Set("Api-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var body bytes.Buffer
+	_, err = body.ReadFrom(response.Body)
+	assert.NilError(t, err)
+	if response.StatusCode == http.StatusServiceUnavailable {
+		assert.Assert(t, response.Header.Get("Retry-After") != "")
+	}
+	return fmt.Sprintf("%d %s", response.StatusCode, strings.TrimSpace(body.String()))
+}
+
+// TestKeysAreRefusedWhileTheStoreIsSilent guards against parts that are not connected: the
+// dates of calls, probes, heartbeats, the check of requests, and the metrics.
+func TestKeysAreRefusedWhileTheStoreIsSilent(t *testing.T) {
+	m := newMeshWith(t, 3*time.Second, "orders", "orders", "orders", "orders")
+	current, err := m.client.Get(t.Context(), "config/main")
+	assert.NilError(t, err)
+	_, err = m.client.Update(t.Context(), "config/main", documentWithKey(2, "key-a"), current.Version)
+	assert.NilError(t, err)
+	await := func(want string) {
+		for _, p := range m.proxies {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if got := p.sendWithKey(t, "key-a"); !strings.HasPrefix(got, want) {
+					return poll.Continue("%s, version %d", got, p.proxy.Status().Version)
+				}
+				return poll.Success()
+			}, pollTimeout)
+		}
+	}
+	await("200 ")
+	assert.NilError(t, m.objects.SetFaults(objapi.Faults{FreezeWatches: true}))
+	await("503 version-unverified")
+	for _, p := range m.proxies {
+		assert.Assert(t, strings.HasPrefix(p.sendWithKey(t, ""), "200 "))
+	}
+	var metrics bytes.Buffer
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		metrics.Reset()
+		assert.NilError(t, m.proxies[3].proxy.WriteMetrics(&metrics))
+		for _, name := range []string{"version_verified_age_seconds", "requests_unverified"} {
+			if !regexp.MustCompile(name + `\S* [1-9]`).Match(metrics.Bytes()) {
+				return poll.Continue("%s", metrics.String())
+			}
+		}
+		return poll.Success()
+	}, pollTimeout)
+	assert.NilError(t, m.objects.SetFaults(objapi.Faults{}))
+	await("200 ")
+}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -120,7 +120,8 @@
 
 // updateGauges updates the gauges from the counters of traffic threads. It runs on the
 // control thread.
-func (p *Proxy) updateGauges(time.Time) {
+func (p *Proxy) updateGauges(now time.Time) {
+	p.updateVerifiedAge(now)
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
 	gauges := []struct {
 		name  string
@@ -139,6 +140,7 @@
 		{"link_stalls", float64(p.egressLink.Stalls())},
 		{"sessions_accepted", float64(sessions.Sessions)},
 		{"platform_calls", float64(p.store.Calls())},
+		{"requests_unverified", float64(p.requestLog.unverified.Load())},
 		{"requests_unanswered", float64(p.front.PendingRequests())},
 		{"log_lines_dropped", float64(p.requestLog.droppedLines.Load())},
 	}
--- a/internal/steer/account.go
+++ b/internal/steer/account.go
@@ -8,7 +8,8 @@
 )
 
 // identify sets the account of the request. It returns the response to a request without
-// a known key whose rule requires one, otherwise nil.
+// a known key whose rule requires one, and to a request with a key that may have been
+// revoked, otherwise nil.
 func (r *Router) identify(rs *requestState) *front.Response {
 	version := rs.snapshot.Plan
 	if !version.HasAccounts() {
@@ -17,6 +18,9 @@
 	keys := r.keys(rs.request)
 	if rs.account = accountOf(version, keys); rs.account != nil {
 		rs.record.Account = rs.account.Name
+		if !rs.keysAdmitted {
+			return r.refuseUnverified(rs)
+		}
 		return nil
 	}
 	switch {
--- a/internal/steer/account_test.go
+++ b/internal/steer/account_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/front"
 	"arbutusstep.example/arbutusstep/internal/steer"
 	"arbutusstep.example/arbutusstep/internal/wire"
@@ -94,6 +95,90 @@
 	}
 }
 
+// keyGuard admits keys if it is true.
+type keyGuard bool
+
+func (k keyGuard) AdmitsKeys(time.Time) bool { return bool(k) }
+
+// TestKeysThatMayBeRevokedAreRefused guards against requests that run with a key which a
+// newer version may have revoked, and against refusals of requests that have none.
+func TestKeysThatMayBeRevokedAreRefused(t *testing.T) {
+	tests := []struct {
+		name, path string
+		keys       []string
+		guard      steer.KeyGuard
+		wantStatus int
+		wantReason string
+	}{
+		{name: "no limit", path: "/keyed/1", keys: []string{"key-b"}, wantStatus: 200},
+		{name: "recent version", path: "/keyed/1", keys: []string{"key-b"}, guard: keyGuard(true), wantStatus: 200},
+		{name: "old version", path: "/keyed/1", keys: []string{"key-b"}, guard: keyGuard(false), wantStatus: 503, wantReason: steer.ReasonVersionUnverified},
+		{name: "old version, key not required", path: "/open/1", keys: []string{"key-b"}, guard: keyGuard(false), wantStatus: 503, wantReason: steer.ReasonVersionUnverified},
+		{name: "old version, unknown key not required", path: "/open/1", keys: []string{"key-c"}, guard: keyGuard(false), wantStatus: 200},
+		{name: "old version, anonymous", path: "/open/1", guard: keyGuard(false), wantStatus: 200},
+		{name: "old version, no key", path: "/keyed/1", guard: keyGuard(false), wantStatus: 401, wantReason: steer.ReasonNoKey},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			caller := &scriptedCaller{results: []callResult{{status: http.StatusOK}}}
+			r, recorded := newRouter(t, plan.Idempotent, 1, caller)
+			source := r.Snapshots.(fixedSnapshot)
+			source.snapshot.Plan = accountPlan(t)
+			r.Snapshots, r.KeyGuard = source, tt.guard
+			headers := http.Header{"Key": tt.keys}
+			response := r.Handle(t.Context(), &front.Request{
+				Method: "GET", Host: "a.example", Path: tt.path, Target: tt.path, Arrived: time.Now(), HeaderValue: headers.Get, HeaderValues: headers.Values,
+			})
+			assert.Equal(t, response.Status, tt.wantStatus)
+			assert.Equal(t, recorded.last.Reason, tt.wantReason)
+			assert.Equal(t, len(caller.calls) > 0, tt.wantStatus == http.StatusOK)
+			assert.Equal(t, recorded.last.RetryAfter > 0, tt.wantStatus == http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// changingSource provides version 5 until the keys were checked, and version 6 without the
+// keys afterwards.
+type changingSource struct {
+	fixedSnapshot
+	next    *plan.Plan
+	checked bool
+}
+
+func (c *changingSource) AdmitsKeys(time.Time) bool {
+	c.checked = true
+	return true
+}
+
+func (c *changingSource) Snapshot() cells.ProxySnapshot {
+	snapshot := c.snapshot
+	if c.checked {
+		snapshot.Plan = c.next
+	}
+	return snapshot
+}
+
+// TestKeysAreCheckedBeforeTheSnapshotIsRead guards against a request that is admitted by the
+// confirmation of a version which revokes its key, but runs by the version before it.
+func TestKeysAreCheckedBeforeTheSnapshotIsRead(t *testing.T) {
+	r, recorded := newRouter(t, plan.Idempotent, 1, &scriptedCaller{})
+	source := &changingSource{fixedSnapshot: r.Snapshots.(fixedSnapshot)}
+	source.snapshot.Plan = accountPlan(t)
+	var err error
+	source.next, err = plan.New(6, plan.Limits{}, []plan.Service{{Name: "orders"}}, []*plan.Rule{{
+		Name: "keyed", Host: "a.example", Prefix: "/keyed/", Rank: 1, Timeout: time.Second, MaxAttempts: 1,
+		Services: []plan.WeightedService{{Service: "orders", Weight: 1}},
+	}}, &plan.Account{Name: "anna", Keys: []string{"key-a1"}})
+	assert.NilError(t, err)
+	r.Snapshots, r.KeyGuard = source, source
+	headers := http.Header{"Key": {"key-b"}}
+	response := r.Handle(t.Context(), &front.Request{
+		Method: "GET", Host: "a.example", Path: "/keyed/1", Target: "/keyed/1", Arrived: time.Now(), HeaderValue: headers.Get, HeaderValues: headers.Values,
+	})
+	assert.Equal(t, response.Status, http.StatusUnauthorized)
+	assert.Equal(t, recorded.last.Reason, steer.ReasonUnknownKey)
+}
+
 // TestHeadersPassWithoutAccounts guards the meshes whose versions have no accounts: there,
 // the headers that identify accounts are headers like any other.
 func TestHeadersPassWithoutAccounts(t *testing.T) {
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -27,6 +27,9 @@
 	// ReasonVersionUnconfirmed means that no rule matches, but that the version in force
 	// may not be the newest.
 	ReasonVersionUnconfirmed = "version-unconfirmed"
+	// ReasonVersionUnverified means that the request has a key which a newer version may
+	// have revoked.
+	ReasonVersionUnverified = "version-unverified"
 	// ReasonNoKey and ReasonUnknownKey mean that the rule requires the key of a client
 	// account, and that the request has none, or not exactly one that is known.
 	ReasonNoKey      = "no-key"
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -103,6 +103,9 @@
 	// processed. It may be nil and must not block.
 	OnPanic func(value any, stack []byte)
 
+	// KeyGuard limits the use of revoked keys. If nil, there is no limit.
+	KeyGuard KeyGuard
+
 	// Memory is the memory for response bodies. It must be set.
 	Memory *quota.Memory
 
@@ -119,9 +122,11 @@
 	record  RequestRecord
 	rule    *plan.Rule
 	// account is the client account of the request; nil if it is anonymous.
-	account  *plan.Account
-	service  mesh.Service
-	snapshot cells.ProxySnapshot
+	account *plan.Account
+	// keysAdmitted is true if the request may be served with a key of snapshot.
+	keysAdmitted bool
+	service      mesh.Service
+	snapshot     cells.ProxySnapshot
 	// tried lists the hosts of the attempts so far.
 	tried []mesh.HostID
 	// upstreamAttempts counts the attempts that may have reached an upstream.
@@ -192,6 +197,7 @@
 		return r.localResponse(rs, http.StatusBadRequest, ReasonBadHeader, 0)
 	}
 	r.waitForSnapshot(ctx, timeout)
+	rs.keysAdmitted = r.admitsKeys()
 	rs.snapshot = r.Snapshots.Snapshot()
 	rs.record.Version = rs.snapshot.Plan.Version()
 	if rs.snapshot.Plan == nil {
