Play revoked keys in the soak test

Callers use keys that the last versions revoked, one more fault isolates a node for longer than the revocation time, and no request may run that was sent 5 s after the store acknowledged a version without its key. Upstreams report keys that reach them.

--- a/internal/ctrl/revocation_test.go
+++ b/internal/ctrl/revocation_test.go
@@ -71,9 +71,8 @@
 		fault func(s *sim)
 		end   func(s *sim)
 		// refusing is the number of hosts that refuse requests with keys at the end of the
-		// fault, of eight, and mayRefuse true if others may refuse some before.
-		refusing  int
-		mayRefuse bool
+		// fault, of eight. No other host may refuse any before.
+		refusing int
 		// changeInterval is the time between two versions; zero for 700 ms.
 		changeInterval time.Duration
 	}{
@@ -102,9 +101,17 @@
 			fault: func(s *sim) { p := s.leaf(); p.frozen, p.asleep = true, true }, end: thaw,
 		},
 		{
-			name: "a root is suspended", refusing: 1, mayRefuse: true,
+			name: "a root is suspended", refusing: 1,
 			fault: func(s *sim) { p := s.directReaders()[0]; p.frozen, p.asleep = true, true }, end: thaw,
 		},
+		{
+			name: "both roots lose power", end: func(*sim) {},
+			fault: func(s *sim) {
+				for _, p := range s.directReaders() {
+					s.powerOff(p)
+				}
+			},
+		},
 		{
 			name:  "the store takes 500 ms",
 			fault: func(s *sim) { s.storeLatency = 500 * time.Millisecond }, end: func(s *sim) { s.storeLatency = nearRTT },
@@ -148,7 +155,7 @@
 				s.acceptVersion()
 			}
 			assert.Equal(t, len(s.refusingHosts()), tt.refusing)
-			assert.Assert(t, tt.mayRefuse || len(s.refused) <= tt.refusing, "refused: %v", s.refused)
+			assert.Assert(t, len(s.refused) <= tt.refusing, "refused: %v", s.refused)
 			tt.end(s)
 			s.advance(recoveryTime)
 			assert.DeepEqual(t, s.refusingHosts(), []mesh.HostID(nil))
@@ -204,8 +211,9 @@
 			t.Parallel()
 			s := newRevocationSim(t, tt.proxies)
 			s.setLinks(nil, func(l *simLink) { l.delay = 30 * time.Millisecond })
-			s.calls = 0
+			s.calls, s.oldest = 0, 0
 			s.advance(10 * time.Second)
+			t.Logf("oldest confirmation %v, %.1f calls to the store per second", s.oldest, float64(s.calls)/10)
 			assert.Assert(t, len(s.refused) == 0, "refused: %v", s.refused)
 			assert.Assert(t, s.calls <= maxCallsPerSecond*10, "%d calls in 10 s", s.calls)
 		})
--- a/internal/ctrl/revocationsim_test.go
+++ b/internal/ctrl/revocationsim_test.go
@@ -43,6 +43,8 @@
 	delayed []delayedAction
 	// refused contains the time for which each host refused requests with keys.
 	refused map[mesh.HostID]time.Duration
+	// oldest is the largest age of a confirmation.
+	oldest time.Duration
 }
 
 type delayedAction struct {
@@ -217,7 +219,11 @@
 	s.checkKeys(p)
 	p.board.Settle(p.local(s.now).Time)
 	s.checkKeys(p)
-	if s.revocation > 0 && !s.admitsKeys(p) {
+	if s.revocation == 0 {
+		return
+	}
+	s.oldest = max(s.oldest, p.local(s.now).Sub(p.cells.Freshness.Load().Verified()))
+	if !s.admitsKeys(p) {
 		s.refused[p.host] += simStep
 	}
 }
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -80,6 +80,9 @@
 	record = requestRecord{id: fmt.Sprintf("%s.%d", c.name, c.lastSerial), node: c.node.host}
 	method, body := http.MethodGet, io.Reader(nil)
 	switch n := c.random.IntN(100); {
+	case n < keyedPercent:
+		record.kind, path, record.keyed = safe, "/k/", true
+		record.keyVersion = c.node.harness.randomKeyVersion(c.random)
 	case n < 55:
 		record.kind, path = safe, "/s/"
 	case n < 80:
@@ -102,6 +105,9 @@
 	request.Host = "a.example"
 	request.Header.Set("X-Request-Id", record.id)
 	request.Header.Set("X-Timeout-Ms", fmt.Sprint(requestTimeout.Milliseconds()))
+	if record.keyed {
+		request.Header.Set("Api-Key", keyOf(record.keyVersion))
+	}
 	return record, path, request
 }
 
@@ -116,6 +122,7 @@
 		length := request.ContentLength
 		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(data)), length
 	}
+	record.began = time.Now()
 	err := request.Write(c.conn)
 	record.sent = time.Now()
 	var response *http.Response
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -99,6 +99,7 @@
 		time.Sleep(duration)
 		n.nodeLink.SetLatency(time.Millisecond)
 	}},
+	{name: "isolation", inject: isolateNode},
 	{name: "upstreamCrash", inject: func(h *harness, n *node, duration time.Duration, random *rand.Rand) {
 		h.recordFault(n, "upstreamCrash", duration+addressReuseDelay)
 		inst := n.upstream.current()
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -49,7 +49,7 @@
 
 // allowedServices maps a path prefix to the services that some version routes it
 // to.
-var allowedServices = map[string]string{"/s/": "desk", "/u/": "desk", "/p/": "prints", "/m/": "desk prints"}
+var allowedServices = map[string]string{"/s/": "desk", "/u/": "desk", "/p/": "prints", "/m/": "desk prints", "/k/": "desk"}
 
 // node is one proxy process with its upstream and the links to it.
 type node struct {
@@ -157,15 +157,15 @@
 // versions, but for one that moves between services.
 func configDocument(version uint64, movedService string) []byte {
 	rule := func(kind, prefix, service string) string {
-		return fmt.Sprintf(`{"name":"r%s","kind":%q,"priority":1,"target_latency":"800ms","match":{"path_prefix":%q},`+
-			`"action":{"service":%q,"timeout":"1800ms","max_attempts":2}}`, strings.Trim(prefix, "/"), kind, prefix, service)
+		return fmt.Sprintf(`{"name":"r%s","kind":%q,"allow_anonymous":%t,"priority":1,"target_latency":"800ms","match":{"path_prefix":%q},`+
+			`"action":{"service":%q,"timeout":"1800ms","max_attempts":2}}`, strings.Trim(prefix, "/"), kind, prefix != "/k/", prefix, service)
 	}
 	rules := strings.Join([]string{
-		rule("safe", "/s/", "desk"), rule("unsafe", "/u/", "desk"), rule("download", "/p/", "prints"), rule("safe", "/m/", movedService),
+		rule("safe", "/s/", "desk"), rule("unsafe", "/u/", "desk"), rule("download", "/p/", "prints"), rule("safe", "/m/", movedService), rule("safe", "/k/", "desk"),
 	}, ",")
 	return fmt.Appendf(nil, `{"version":"r%d","limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s",`+
 		`"idle_timeout":"15s"},"listeners":[{"host":"a.example","rule_set":[%s]}],"clusters":[{"name":"desk","max_connections":100,"health_path":"/serves"},`+
-		`{"name":"prints","max_connections":100,"health_path":"/serves"}]}`, version, rules)
+		`{"name":"prints","max_connections":100,"health_path":"/serves"}],%s}`, version, rules, accountDocument(version))
 }
 
 func (h *harness) newNode(i, harnessID int, region, zone, service string) *node {
@@ -205,7 +205,8 @@
   announce: %s
 repeats: {ratio: 0.2, slack: 60, span: 10s}
 limits: {platformRate: 50}
-`, n.host, region, n.zone, service, n.storeLink.Addr(), reportInterval, stop, n.callerAddress, n.nodeAddress, n.adminAddress, n.readyAddress, n.nodeLink.Addr())
+revocation: %s
+`, n.host, region, n.zone, service, n.storeLink.Addr(), reportInterval, stop, n.callerAddress, n.nodeAddress, n.adminAddress, n.readyAddress, n.nodeLink.Addr(), revocationTime)
 	assert.Check(n.harness.t, os.WriteFile(n.settingsFile, []byte(text), 0o600))
 }
 
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -22,9 +22,12 @@
 	id   string
 	kind kind
 	node string
-	// sent is when its last byte was written, and ended when its response was read
+	// keyed is true if it had the key of keyVersion.
+	keyed      bool
+	keyVersion uint64
+	// began is a time before its first byte was written, sent is when its last byte was written, and ended when its response was read
 	// or its connection failed.
-	sent, ended time.Time
+	began, sent, ended time.Time
 	// status is zero if there was no complete response.
 	status     int
 	executions []execution
@@ -83,7 +86,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	req := r.request(ended.id)
-	req.kind, req.node, req.sent, req.ended, req.status = ended.kind, ended.node, ended.sent, ended.ended, ended.status
+	req.kind, req.node, req.began, req.sent, req.ended, req.status = ended.kind, ended.node, ended.began, ended.sent, ended.ended, ended.status
+	req.keyed, req.keyVersion = ended.keyed, ended.keyVersion
 }
 
 // recordFault records an unplanned fault from now on.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -124,7 +124,7 @@
 	callers.Wait()
 	// A refused request must not run later either.
 	time.Sleep(requestTimeout)
-	violations := h.recorder.check()
+	violations := append(h.recorder.check(), h.checkRevokedKeys()...)
 	if len(violations) == 0 {
 		return
 	}
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -241,6 +241,9 @@
 	if r.Header.Get("X-Caller-Service") == "" {
 		u.recorder.violation("%s arrived at %s without its caller's service", id, inst.name)
 	}
+	if r.Header.Get("Api-Key") != "" {
+		u.recorder.violation("%s arrived at %s with its key", id, inst.name)
+	}
 	if !inst.acquireSlot() {
 		w.Header().Set("X-Not-Executed", "1")
 		w.Header().Set("X-Request-Id", id)
