--- a/pkg/board/board_test.go
+++ b/pkg/board/board_test.go
@@ -119,3 +119,36 @@
 		<-done
 	})
 }
+
+// TestNoEventIsLaterThanItsStep guards against a step whose time was read before its events
+// were collected: times that it computes from the events would be too late.
+func TestNoEventIsLaterThanItsStep(t *testing.T) {
+	const events = board.DefaultInboxLimit
+	var (
+		b     board.Board
+		inbox board.Inbox[time.Time]
+	)
+	ctx, cancel := context.WithCancel(t.Context())
+	received, early := 0, 0
+	b.Add(board.Controller{
+		Name: "receiver", Reads: []board.Ref{&inbox},
+		Step: func(now time.Time) {
+			for _, postedAt := range inbox.Events() {
+				if received++; now.Before(postedAt) {
+					early++
+				}
+			}
+			if received == events {
+				cancel()
+			}
+		},
+	})
+	go func() {
+		for range events {
+			inbox.Post(time.Now())
+		}
+	}()
+	b.Run(ctx)
+	assert.Equal(t, received, events)
+	assert.Equal(t, early, 0)
+}
