--- a/internal/soak/revocation_test.go
+++ b/internal/soak/revocation_test.go
@@ -54,7 +54,8 @@
 // revoke the keys that it knows.
 func isolateNode(h *harness, n *node, _ time.Duration, _ *rand.Rand) {
 	h.recordFault(nil, "isolation", isolationTime)
-	links := []*faulty.Link{n.storeLink}
+	links := make([]*faulty.Link, 0, 1+len(h.nodes))
+	links = append(links, n.storeLink)
 	for _, other := range h.nodes {
 		links = append(links, other.nodeLink)
 	}
