Choose the owner of the quota tokens and count its contacts

A controller selects the first root that this proxy reaches as the owner, or the parent that forwards to it, and counts the nodes in the reports of others. The second root dials the first, because roots have no links otherwise.

--- a/internal/ctrl/proxy.go
+++ b/internal/ctrl/proxy.go
@@ -33,6 +33,7 @@
 		newProxyUpstream(proxy),
 		newRecordWriter(proxy, source),
 		newSourceSelector(proxy),
+		newTokenSource(proxy),
 		newVersionApplier(proxy, codec),
 		newPublisher(proxy, codec),
 		newSweeper(proxy),
--- a/internal/ctrl/proxysnapshot.go
+++ b/internal/ctrl/proxysnapshot.go
@@ -29,7 +29,7 @@
 	p := &proxySnapshotBuilder{Proxy: proxy, firstSeen: make(map[string]time.Time), position: -1}
 	return board.Controller{
 		Name:   "proxySnapshotBuilder",
-		Reads:  []board.Ref{&proxy.ActiveVersion, &proxy.Roster, &proxy.LocalUpstream, &proxy.Phase},
+		Reads:  []board.Ref{&proxy.ActiveVersion, &proxy.Roster, &proxy.LocalUpstream, &proxy.Phase, &proxy.TokenSource},
 		Writes: []board.Ref{&proxy.Snapshot, &proxy.SnapshotUpdates},
 		Step:   p.step,
 	}
@@ -40,7 +40,7 @@
 	p.rebuildSets(now)
 	p.Snapshot.Set(cells.ProxySnapshot{
 		Plan: version.Plan, CandidateSets: p.candidateSets, LocalUpstream: upstream.Upstream, AdmitUntil: upstream.AdmitUntil,
-		NodeCount: max(1, p.Roster.Read().Len()), ServiceShare: p.serviceShare(upstream.Service), Phase: p.Phase.Get(),
+		NodeCount: max(1, p.Roster.Read().Len()), ServiceShare: p.serviceShare(upstream.Service), Phase: p.Phase.Get(), Tokens: p.TokenSource.Get(),
 	})
 	p.SnapshotUpdates.Send(version.Plan.Version())
 }
--- /dev/null
+++ b/internal/ctrl/tokensource_test.go
@@ -0,0 +1,130 @@
+package ctrl
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/ctlmsg"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+)
+
+// probeInterval is the interval at which proxies report to the parent from which they get
+// their tokens.
+const probeInterval = 500 * time.Millisecond
+
+// enforceQuotas turns quotas on at all proxies.
+func (s *sim) enforceQuotas() {
+	for _, p := range s.proxies {
+		self := p.cells.Self.Load()
+		self.EnforceQuotas = true
+		p.cells.Self.Set(self)
+	}
+}
+
+// advanceWithProbes runs the simulation, sends probes, and checks in each step that all
+// owners together fill their buckets at no more than the full rate.
+func (s *sim) advanceWithProbes(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		for next := s.now.Add(probeInterval); s.now.Before(next); {
+			s.advance(simStep)
+			total := 0.0
+			for _, p := range s.proxies {
+				total += p.cells.TokenSource.Load().Share
+			}
+			assert.Assert(s.t, total <= 1.001, "shares add up to %.3f", total)
+		}
+		for _, l := range s.links {
+			source := l.dialer.cells.TokenSource.Load()
+			if source.Host == l.acceptor.host && !l.silent && slices.Contains(s.proxies, l.dialer) {
+				l.acceptor.cells.LinkEvents.Post(cells.LinkEvent{Link: l.id, Kind: cells.LinkMessage, Message: ctlmsg.Probe{
+					SentAt: s.now.Sub(l.dialer.cells.Self.Load().StartedAt) + time.Hour, Nodes: source.Nodes,
+				}})
+			}
+		}
+	}
+}
+
+// owners lists the hosts that own the buckets, with the sum of their shares.
+func (s *sim) owners() (hosts []mesh.HostID, share float64) {
+	for _, p := range s.proxies {
+		if source := p.cells.TokenSource.Load(); source.Owner {
+			hosts, share = append(hosts, p.host), share+source.Share
+		}
+	}
+	return hosts, share
+}
+
+// freeze stops a process and closes its links, as the others do once it is silent.
+func (s *sim) freeze(p *simProxy) {
+	s.proxies = slices.DeleteFunc(s.proxies, func(o *simProxy) bool { return o == p })
+	for _, l := range slices.Clone(s.links) {
+		if l.dialer == p || l.acceptor == p {
+			s.closeLink(l)
+		}
+	}
+}
+
+// TestOneOwnerCountsEachProxy guards against two owners that both count a proxy, a mesh
+// without an owner, and proxies that stay at an owner that others have left.
+func TestOneOwnerCountsEachProxy(t *testing.T) {
+	nothing := func(*sim, *simProxy) {}
+	tests := []struct {
+		name      string
+		proxies   int
+		fail      func(s *sim, owner *simProxy)
+		recover   func(s *sim, owner *simProxy)
+		sameOwner bool
+	}{
+		{name: "no failure", proxies: 12, fail: nothing, recover: nothing, sameOwner: true},
+		{name: "several levels", proxies: largeFleet, fail: nothing, recover: nothing, sameOwner: true},
+		{name: "killed", proxies: 12, fail: (*sim).kill, recover: nothing},
+		{name: "killed and started again", proxies: 12, fail: (*sim).kill, sameOwner: true, recover: func(s *sim, owner *simProxy) {
+			s.start(owner.host, true)
+			s.enforceQuotas()
+		}},
+		{name: "frozen", proxies: 12, fail: (*sim).freeze, sameOwner: true, recover: func(s *sim, owner *simProxy) {
+			s.proxies = append(s.proxies, owner)
+		}},
+		{name: "store unavailable", proxies: 12, sameOwner: true, fail: func(s *sim, _ *simProxy) { s.platformDown = true }, recover: nothing},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, tt.proxies)
+			s.enforceQuotas()
+			s.advanceWithProbes(12 * time.Second)
+			before, share := s.owners()
+			assert.Equal(t, len(before), 1, "%v", before)
+			assert.Assert(t, share > 0.999, "%.3f", share)
+			owner := s.proxies[slices.IndexFunc(s.proxies, func(p *simProxy) bool { return p.host == before[0] })]
+			tt.fail(s, owner)
+			s.advanceWithProbes(4 * time.Second)
+			during, share := s.owners()
+			assert.Equal(t, len(during), 1, "%v", during)
+			assert.Assert(t, share >= float64(tt.proxies-1)/float64(tt.proxies)-0.001, "%.3f", share)
+			tt.recover(s, owner)
+			s.advanceWithProbes(10 * time.Second)
+			after, share := s.owners()
+			assert.Equal(t, len(after), 1, "%v", after)
+			assert.Assert(t, share >= float64(tt.proxies-1)/float64(tt.proxies)-0.001, "%.3f", share)
+			assert.Equal(t, after[0] == before[0], tt.sameOwner)
+		})
+	}
+}
+
+// TestQuotasOffNeedNoLinks guards the meshes without quotas, in which roots have no links to
+// each other.
+func TestQuotasOffNeedNoLinks(t *testing.T) {
+	s := newSim(t, 5)
+	s.advance(10 * time.Second)
+	for _, p := range s.proxies {
+		assert.Equal(t, p.cells.TokenSource.Load(), cells.TokenSource{})
+	}
+	tree := s.proxies[0].cells.Tree.Load()
+	for _, l := range s.links {
+		assert.Assert(t, !tree.IsRoot(l.dialer.host))
+	}
+}
--- a/pkg/fleet/tree.go
+++ b/pkg/fleet/tree.go
@@ -114,6 +114,20 @@
 	return isReader && depth == 0
 }
 
+// Roots returns the nodes that read from the platform, the most suitable one first.
+func (t *Tree) Roots() []Node {
+	return slices.Clone(t.roots)
+}
+
+// Depth returns the number of levels above a host; zero if it is a root.
+func (t *Tree) Depth(host mesh.HostID, place mesh.Place) int {
+	parents := t.Parents(host, place)
+	if len(parents) == 0 {
+		return 0
+	}
+	return t.depths[parents[0].Host] + 1
+}
+
 // IsReader reports whether other nodes may receive from the host.
 func (t *Tree) IsReader(host mesh.HostID) bool {
 	_, isReader := t.depths[host]
