Exchange quota tokens between proxies

Requests of one proxy that wait for tokens share a call to its parent, of which one at a time is under way. Proxies of earlier builds refuse such calls, because their priority is out of range.

--- /dev/null
+++ b/internal/grants/call.go
@@ -0,0 +1,68 @@
+package grants
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/tokens"
+)
+
+// callTimeout limits one call to the parent. Its tokens are valid for little longer.
+const callTimeout = 400 * time.Millisecond
+
+// startCall starts the next call to the parent if there is anything to ask for and no call
+// is under way. Mutex must be locked.
+func (q *Quotas) startCall(now time.Time, withReturns bool) {
+	if q.ctx.Err() != nil {
+		return
+	}
+	asks, retryAt := q.keeper.NextCall(now, withReturns)
+	if len(asks) > 0 {
+		address := q.address
+		q.calls.Go(func() { q.call(address, asks) })
+		return
+	}
+	if retryAt.IsZero() {
+		return
+	}
+	if q.retry == nil {
+		q.retry = time.AfterFunc(retryAt.Sub(now), q.retryCall)
+		return
+	}
+	q.retry.Reset(retryAt.Sub(now))
+}
+
+func (q *Quotas) retryCall() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.startCall(time.Now(), false)
+}
+
+// call asks the parent for tokens and answers the claims.
+func (q *Quotas) call(address netip.AddrPort, asks []tokens.Ask) {
+	q.counters.Calls.Add(1)
+	ctx, cancel := context.WithTimeout(q.ctx, callTimeout)
+	defer cancel()
+	// Proxies of builds without quotas refuse a call of this priority, instead of sending
+	// it to their upstreams.
+	head := &wire.CallHead{Priority: mesh.NumPriorities, Idempotent: true, Quota: encodeAsks(asks)}
+	reply, err := q.Caller.Call(ctx, address, &peer.Call{Head: head})
+	var granted []tokens.Grant
+	if err == nil {
+		granted = decodeGrants(reply.Head.GetQuota())
+		_, _ = io.Copy(io.Discard, reply.Body)
+		_ = reply.Body.Close()
+	} else {
+		q.counters.FailedCalls.Add(1)
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := time.Now()
+	q.keeper.EndCall(now, granted, err == nil)
+	q.startCall(now, false)
+}
