Refuse requests beyond the quota of their account

A request gets its token after it is identified: 429 with Retry-After if the account has none, 503 if no owner answers in time and there is no local token. A request that no upstream received gives its token back.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"arbutusstep.example/arbutusstep/internal/depot"
 	"arbutusstep.example/arbutusstep/internal/egress"
 	"arbutusstep.example/arbutusstep/internal/front"
+	"arbutusstep.example/arbutusstep/internal/grants"
 	"arbutusstep.example/arbutusstep/internal/httpd"
 	"arbutusstep.example/arbutusstep/internal/links"
 	"arbutusstep.example/arbutusstep/internal/meter"
@@ -121,6 +122,7 @@
 	bodyMemory    quota.Memory
 	gate          gate.Gate
 	handler       serve.Handler
+	quotas        grants.Quotas
 	router        steer.Router
 	front         front.Server
 	metrics       *meter.Meter
@@ -228,7 +230,11 @@
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
 	p.handler.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
 	p.handler.FanOut = func() float64 { return p.router.Budget.MaxFanOut(time.Now(), p.settings.Load().Service) }
-	p.peers.CallHandler, p.peers.ControlHandler = &p.handler, p.links
+	p.quotas.Caller = &p.pool
+	if settings.Quota.Window > 0 {
+		p.quotas.Start(settings.Host)
+	}
+	p.peers.CallHandler, p.peers.ControlHandler = &grants.Handler{Quotas: &p.quotas, Next: &p.handler}, p.links
 }
 
 // startControl adds the controllers to the board and starts the control thread.
@@ -256,7 +262,7 @@
 func (p *Proxy) startTraffic() {
 	settings := p.settings.Load()
 	p.router.Snapshots, p.router.Remote, p.router.Local = snapshotSource{&p.cells, p.snapshotReady}, &p.pool, &peer.LocalCaller{Handler: &p.handler}
-	p.router.Pinger = &p.pool
+	p.router.Pinger, p.router.Quotas = &p.pool, &p.quotas
 	p.router.Headers, p.router.Recorder = p.platform.Headers, &p.requestLog
 	p.router.Host, p.router.Place = settings.Host, p.place()
 	p.router.Service = func() mesh.Service { return p.settings.Load().Service }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -43,6 +43,8 @@
 	objects *objapi.Server
 	client  *store.Client
 	proxies []*testProxy
+	// configure changes the settings of the proxies; nil for no change.
+	configure func(settings *conf.Proxy)
 }
 
 // testProxy is a proxy with its upstream.
@@ -64,12 +66,17 @@
 
 // newMesh starts one proxy for each of the services.
 func newMesh(t *testing.T, services ...string) *testMesh {
-	m := &testMesh{objects: new(objapi.Server)}
+	return newMeshOf(t, newDocument(1, "/o/", "orders"), nil, services...)
+}
+
+// newMeshOf starts a mesh with a configuration, and proxies with changed settings.
+func newMeshOf(t *testing.T, document []byte, configure func(*conf.Proxy), services ...string) *testMesh {
+	m := &testMesh{objects: new(objapi.Server), configure: configure}
 	assert.NilError(t, m.objects.Start(anyPort))
 	t.Cleanup(func() { assert.NilError(t, m.objects.Stop(context.Background())) })
 	m.client = store.New(store.Options{Address: m.objects.Addr(), Host: "operator", RateLimiter: &store.RateLimiter{Rate: 1000, Burst: 1000}})
 	t.Cleanup(m.client.Close)
-	_, err := m.client.Create(t.Context(), "config/main", newDocument(1, "/o/", "orders"))
+	_, err := m.client.Create(t.Context(), "config/main", document)
 	assert.NilError(t, err)
 	for i, service := range services {
 		m.addProxy(t, i, service)
@@ -110,6 +117,9 @@
 	settings.Host, settings.Region, settings.Zone = core.HostID(fmt.Sprint("h", number)), "ch-west", "lsn-a"
 	settings.Listen = conf.ProxyListen{Callers: anyPort, Nodes: anyPort, Admin: anyPort, Ready: anyPort}
 	settings.Platform, settings.Heartbeat, settings.Stop = m.objects.Addr(), time.Minute, 6*time.Second
+	if m.configure != nil {
+		m.configure(&settings)
+	}
 	var err error
 	p.proxy, err = proxy.Start(settings, proxy.Platform{
 		Objects: store.KeyValueCodec{}, VersionKind: "config", RecordKind: "nodes",
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,7 @@
 		target = serve.Target{}
 	}
 	p.handler.SetTarget(target)
+	p.quotas.Apply(snapshot)
 }
 
 // reportUnreachable tells the control thread that connections to the upstream fail.
@@ -118,14 +120,39 @@
 	}
 }
 
+// gauge is a metric that is updated once a second.
+type gauge struct {
+	name  string
+	value float64
+}
+
+// quotaGauges returns the gauges of quotas; none if they are not enforced.
+func (p *Proxy) quotaGauges() []gauge {
+	if p.settings.Load().Quota.Window == 0 {
+		return nil
+	}
+	source, counters := p.cells.TokenSource.Load(), p.quotas.Counters()
+	return []gauge{
+		{"quota_owner", asNumber(source.Owner)},
+		{"quota_share", source.Share},
+		{"quota_nodes", float64(source.Nodes)},
+		{"quota_granted", float64(counters.Granted.Load())},
+		{"quota_waited", float64(counters.Waited.Load())},
+		{"quota_refused", float64(counters.Refused.Load())},
+		{"quota_refunded", float64(counters.Refunded.Load())},
+		{"quota_local_admitted", float64(counters.LocalAdmitted.Load())},
+		{"quota_local_refused", float64(counters.LocalRefused.Load())},
+		{"quota_calls", float64(counters.Calls.Load())},
+		{"quota_calls_failed", float64(counters.FailedCalls.Load())},
+		{"quota_served", float64(counters.Served.Load())},
+	}
+}
+
 // updateGauges updates the gauges from the counters of traffic threads. It runs on the
 // control thread.
 func (p *Proxy) updateGauges(time.Time) {
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
-	gauges := []struct {
-		name  string
-		value float64
-	}{
+	gauges := []gauge{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
@@ -142,7 +169,7 @@
 		{"requests_unanswered", float64(p.front.PendingRequests())},
 		{"log_lines_dropped", float64(p.requestLog.droppedLines.Load())},
 	}
-	for _, g := range gauges {
+	for _, g := range slices.Concat(gauges, p.quotaGauges()) {
 		p.metrics.Scope.Gauge(g.name).Update(g.value)
 	}
 }
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -104,6 +104,7 @@
 	// The control thread must end before the drivers that execute its commands.
 	p.stopControl()
 	p.goroutines.Wait()
+	p.quotas.Close()
 	p.links.Close()
 	p.objects.Close()
 	p.pool.Close()
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -103,6 +103,9 @@
 	// processed. It may be nil and must not block.
 	OnPanic func(value any, stack []byte)
 
+	// Quotas decides whether requests of accounts may run; nil admits all.
+	Quotas Quotas
+
 	// Memory is the memory for response bodies. It must be set.
 	Memory *quota.Memory
 
@@ -218,10 +221,15 @@
 	if r.FinishBy != nil && serve.EndsTooLate(r.FinishBy(), rs.deadline) {
 		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonStopping, noUpstreamRetryAfter)
 	}
-	r.Budget.RecordRequest(rs.request.Arrived, rs.service)
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
 	defer cancel()
-	return r.runAttempts(ctx, rs)
+	if response := r.acquireToken(ctx, rs); response != nil {
+		return response
+	}
+	r.Budget.RecordRequest(rs.request.Arrived, rs.service)
+	response := r.runAttempts(ctx, rs)
+	r.refundToken(rs)
+	return response
 }
 
 // noRuleResponse returns the response to a request that no rule of the version in force
