Make fewer calls for quota tokens

Extra tokens for accounts with few requests at a node wait for the next call, and the interval between two calls grows with the number of nodes.

--- a/internal/grants/call.go
+++ b/internal/grants/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/netip"
 	"time"
@@ -48,16 +49,8 @@
 	q.counters.Calls.Add(1)
 	ctx, cancel := context.WithTimeout(q.ctx, callTimeout)
 	defer cancel()
-	// Proxies of builds without quotas refuse a call of this priority, instead of sending
-	// it to their upstreams.
-	head := &wire.CallHead{Priority: mesh.NumPriorities, Idempotent: true, Quota: encodeAsks(asks)}
-	reply, err := q.Caller.Call(ctx, address, &peer.Call{Head: head})
-	var granted []tokens.Grant
-	if err == nil {
-		granted = decodeGrants(reply.Head.GetQuota())
-		_, _ = io.Copy(io.Discard, reply.Body)
-		_ = reply.Body.Close()
-	} else {
+	granted, err := Call(ctx, q.Caller, address, asks)
+	if err != nil {
 		q.counters.FailedCalls.Add(1)
 	}
 	q.mutex.Lock()
@@ -66,3 +59,22 @@
 	q.keeper.EndCall(now, granted, err == nil)
 	q.startCall(now, false)
 }
+
+// Call asks a proxy for tokens.
+func Call(ctx context.Context, caller Caller, address netip.AddrPort, asks []tokens.Ask) (granted []tokens.Grant, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("ask %s for tokens: %w", address, err)
+		}
+	}()
+	// Proxies of builds without quotas refuse a call of this priority, instead of sending
+	// it to their upstreams.
+	head := &wire.CallHead{Priority: mesh.NumPriorities, Idempotent: true, Quota: encodeAsks(asks)}
+	reply, err := caller.Call(ctx, address, &peer.Call{Head: head})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	_, err = io.Copy(io.Discard, reply.Body)
+	return decodeGrants(reply.Head.GetQuota()), err
+}
--- a/pkg/tokens/collector.go
+++ b/pkg/tokens/collector.go
@@ -8,9 +8,14 @@
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
-// minCallInterval is the minimum interval between two calls to the parent. Asks that arrive
-// in the meantime share the next call.
-const minCallInterval = 10 * time.Millisecond
+// The minimum interval between two calls to the parent grows with the number of nodes, within
+// these limits. Asks that arrive in the meantime share the next call. A parent has up to about
+// 64 children, and at 30 ms, three levels of parents still answer within MaxWait.
+const (
+	minCallInterval     = 10 * time.Millisecond
+	maxCallInterval     = 30 * time.Millisecond
+	callIntervalPerNode = 100 * time.Microsecond
+)
 
 // Claim is an ask that waits for its answer: of a request at this node, or of a child.
 type Claim struct {
@@ -35,13 +40,14 @@
 }
 
 // Next returns the asks of the next call, which is then under way until End is called.
-// If there is none now, it returns the time at which to try again; zero if that is after
+// Calls keep an interval that depends on the number of nodes. If there is none now, it returns the time at which to try again; zero if that is after
 // End or Add.
-func (c *Collector) Next(now time.Time, stock *Stock, withReturns bool) (asks []Ask, retryAt time.Time) {
+func (c *Collector) Next(now time.Time, stock *Stock, nodes int, withReturns bool) (asks []Ask, retryAt time.Time) {
 	if c.underWay {
 		return nil, time.Time{}
 	}
-	if earliest := c.sentAt.Add(minCallInterval); now.Before(earliest) {
+	interval := min(max(minCallInterval, time.Duration(nodes)*callIntervalPerNode), maxCallInterval)
+	if earliest := c.sentAt.Add(interval); now.Before(earliest) {
 		return nil, earliest
 	}
 	list := askList{byAccount: make(map[mesh.Account]int)}
--- a/pkg/tokens/keeper.go
+++ b/pkg/tokens/keeper.go
@@ -74,7 +74,7 @@
 	case k.source.Parent == "":
 		return Answer{}, nil, false
 	case k.stock.Take(now, account):
-		return Answer{Grant: Grant{Account: account, Tokens: 1}, Decided: true}, nil, k.stock.HasLow(now, account)
+		return Answer{Grant: Grant{Account: account, Tokens: 1}, Decided: true}, nil, k.stock.NeedsCall(now, account)
 	}
 	if retryAfter, blocked := k.stock.Blocked(now, account); blocked {
 		return Answer{Grant: Grant{Account: account, RetryAfter: retryAfter}, Decided: true}, nil, false
@@ -154,7 +154,7 @@
 	if k.source.Parent == "" {
 		return nil, time.Time{}
 	}
-	return k.collector.Next(now, &k.stock, withReturns)
+	return k.collector.Next(now, &k.stock, k.Nodes, withReturns)
 }
 
 // EndCall ends the call under way. answered is false if it failed.
--- a/pkg/tokens/simnode_test.go
+++ b/pkg/tokens/simnode_test.go
@@ -156,6 +156,7 @@
 	if len(asks) == 0 {
 		return
 	}
+	s.calls++
 	ended := false
 	end := func(grants []tokens.Grant, answered bool) {
 		if ended {
--- a/pkg/tokens/stock.go
+++ b/pkg/tokens/stock.go
@@ -17,6 +17,9 @@
 	// owner refused it. Without it, a flood makes each of 87 nodes call the owner 100
 	// times a second.
 	minBlock = 50 * time.Millisecond
+	// minRefill is the number of expected requests from which a call is made for extra tokens
+	// alone. For fewer, there would be almost a call for each request.
+	minRefill = 4
 	// idleTime is how long an account is kept after its last request.
 	idleTime = 10 * time.Second
 )
@@ -120,10 +123,11 @@
 	}
 }
 
-// HasLow reports whether an account needs extra tokens soon.
-func (s *Stock) HasLow(now time.Time, account mesh.Account) bool {
+// NeedsCall reports whether an account needs extra tokens so soon that they should not wait
+// for the next call that another account causes.
+func (s *Stock) NeedsCall(now time.Time, account mesh.Account) bool {
 	h := s.accounts[account]
-	return h != nil && h.low && !now.Before(h.blockedUntil)
+	return h != nil && h.low && h.target(now) >= minRefill && !now.Before(h.blockedUntil)
 }
 
 // Returns removes the tokens to give back and calls yield with them. It forgets accounts
