Ask again for quota tokens after a failed call

Requests that waited were undecided at once when a call failed, also if the link was only lost for a moment. Their asks now wait for the next call, at least 50 ms later. A proxy refuses an account by itself for 500 ms at most: an account with a rate of one request in a minute was refused for a minute after its limit was raised.

--- a/pkg/tokens/collector.go
+++ b/pkg/tokens/collector.go
@@ -15,6 +15,9 @@
 	minCallInterval     = 10 * time.Millisecond
 	maxCallInterval     = 30 * time.Millisecond
 	callIntervalPerNode = 100 * time.Microsecond
+	// failedCallInterval is the interval after a call that failed, such as one to a process
+	// that was killed.
+	failedCallInterval = 50 * time.Millisecond
 )
 
 // Claim is an ask that waits for its answer: of a request at this node, or of a child.
@@ -32,6 +35,8 @@
 	waiting, sent []*Claim
 	underWay      bool
 	sentAt        time.Time
+	// failed is true if the last call failed.
+	failed bool
 }
 
 // Add adds a claim to the next call.
@@ -47,6 +52,9 @@
 		return nil, time.Time{}
 	}
 	interval := min(max(minCallInterval, time.Duration(nodes)*callIntervalPerNode), maxCallInterval)
+	if c.failed {
+		interval = failedCallInterval
+	}
 	if earliest := c.sentAt.Add(interval); now.Before(earliest) {
 		return nil, earliest
 	}
@@ -81,14 +89,20 @@
 	return list.asks, time.Time{}
 }
 
-// End ends the call under way and answers its claims. answered is false if it failed.
+// End ends the call under way and answers its claims. answered is false if it failed; the
+// claims then wait for the next one, as the link may be lost for a moment only.
 func (c *Collector) End(now time.Time, stock *Stock, grants []Grant, answered bool) {
+	c.underWay, c.failed = false, !answered
+	if !answered {
+		c.requeue()
+		return
+	}
 	byAccount := make(map[mesh.Account]*share, len(grants))
 	for _, g := range grants {
 		byAccount[g.Account] = &share{Grant: g}
 	}
 	sent := c.sent
-	c.sent, c.underWay = nil, false
+	c.sent = nil
 	for _, cl := range sent {
 		if s := byAccount[cl.Ask.Account]; s != nil && !cl.abandoned {
 			s.needed += cl.Ask.Needed
@@ -102,7 +116,7 @@
 			continue
 		}
 		s := byAccount[cl.Ask.Account]
-		if !answered || s == nil {
+		if s == nil {
 			cl.Answered <- Answer{}
 			continue
 		}
@@ -116,6 +130,16 @@
 	}
 }
 
+// requeue makes the claims of a failed call wait for the next one. Tokens that they returned
+// may have arrived, so they are not returned again.
+func (c *Collector) requeue() {
+	for _, cl := range c.sent {
+		cl.Ask.Returned = 0
+	}
+	c.waiting = append(c.sent, c.waiting...)
+	c.sent = nil
+}
+
 // share is the part of a grant that is not given to a claim yet.
 type share struct {
 	Grant
--- a/pkg/tokens/stock.go
+++ b/pkg/tokens/stock.go
@@ -13,10 +13,12 @@
 	horizon = 300 * time.Millisecond
 	// averageTime is the time constant of the average rate of requests.
 	averageTime = time.Second
-	// minBlock is the least time for which a node refuses an account by itself after the
-	// owner refused it. Without it, a flood makes each of 87 nodes call the owner 100
-	// times a second.
+	// minBlock and maxBlock limit the time for which a node refuses an account by itself
+	// after the owner refused it. Without minBlock, a flood makes each of 87 nodes call the
+	// owner 100 times a second. Without maxBlock, an account with a low rate would be refused
+	// for long after its limit was raised, or tokens were returned.
 	minBlock = 50 * time.Millisecond
+	maxBlock = 500 * time.Millisecond
 	// minRefill is the number of expected requests from which a call is made for extra tokens
 	// alone. For fewer, there would be almost a call for each request.
 	minRefill = 4
@@ -40,8 +42,9 @@
 	usedAt time.Time
 	// low is true if there are fewer tokens than half of those expected to be used.
 	low bool
-	// blockedUntil is the time until which the owner has no token for the account.
-	blockedUntil time.Time
+	// blockedUntil is the time until which the node refuses the account by itself, and
+	// retryAt the time at which the account has capacity.
+	blockedUntil, retryAt time.Time
 }
 
 // lot is a number of tokens that expire together.
@@ -91,7 +94,9 @@
 // Block records that the owner refused a token for an account, which has capacity after a
 // time. The owner promises tokens MaxWait in advance.
 func (s *Stock) Block(now time.Time, account mesh.Account, retryAfter time.Duration) {
-	s.holding(account).blockedUntil = now.Add(max(retryAfter-MaxWait, minBlock))
+	h := s.holding(account)
+	h.blockedUntil = now.Add(min(max(retryAfter-MaxWait, minBlock), maxBlock))
+	h.retryAt = now.Add(retryAfter)
 }
 
 // Blocked reports whether an account is known to have no token, and when it has capacity.
@@ -100,7 +105,7 @@
 	if h == nil || !now.Before(h.blockedUntil) {
 		return 0, false
 	}
-	return h.blockedUntil.Sub(now) + MaxWait, true
+	return max(h.retryAt.Sub(now), minRetryAfter), true
 }
 
 // Extra returns the number of extra tokens to ask for.
--- a/pkg/tokens/tokens_test.go
+++ b/pkg/tokens/tokens_test.go
@@ -220,6 +220,48 @@
 	}
 }
 
+// TestKeeperAfterAnswers guards against a node that asks for an account again and again
+// that has used up its quota, refuses it for long after that, or gives up its requests when
+// one call fails.
+func TestKeeperAfterAnswers(t *testing.T) {
+	limit := tokens.Limit{Rate: 100, Burst: 100}
+	refused := []tokens.Grant{{Account: "a", RetryAfter: time.Minute}}
+	tests := []struct {
+		name     string
+		grants   []tokens.Grant
+		answered bool
+		// after is the time after the answer at which another request arrives.
+		after       time.Duration
+		wantDecided bool
+		// wantNeeded is the number of tokens of the next call; zero if there is none.
+		wantNeeded int
+	}{
+		{name: "refused", grants: refused, answered: true, after: 100 * time.Millisecond, wantDecided: true},
+		{name: "refused a while ago", grants: refused, answered: true, after: 600 * time.Millisecond, wantNeeded: 1},
+		{name: "call failed", after: 100 * time.Millisecond, wantNeeded: 2},
+		{name: "call failed just now", after: 30 * time.Millisecond},
+		{name: "parent has another version", grants: []tokens.Grant{{Account: "a"}}, answered: true, after: 30 * time.Millisecond, wantNeeded: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var keeper tokens.Keeper
+			keeper.SetSource(epoch, tokens.Source{Parent: "p"})
+			_, first, _ := keeper.Request(epoch, "a", limit)
+			keeper.NextCall(epoch, false)
+			keeper.EndCall(epoch, tt.grants, tt.answered)
+			assert.Equal(t, len(first.Answered) > 0, tt.answered)
+			now := epoch.Add(tt.after)
+			answer, _, _ := keeper.Request(now, "a", limit)
+			assert.Equal(t, answer.Decided, tt.wantDecided)
+			needed := 0
+			if asks, _ := keeper.NextCall(now, false); len(asks) > 0 {
+				needed = asks[0].Needed
+			}
+			assert.Equal(t, needed, tt.wantNeeded)
+		})
+	}
+}
+
 // TestLocalTokensStayWithinTheirPart guards against nodes that each keep a token for the
 // time when no owner answers: 87 of them would be more than the limit of most accounts.
 func TestLocalTokensStayWithinTheirPart(t *testing.T) {
