--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -230,11 +230,7 @@
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
 	p.handler.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
 	p.handler.FanOut = func() float64 { return p.router.Budget.MaxFanOut(time.Now(), p.settings.Load().Service) }
-	p.quotas.Caller = &p.pool
-	if settings.Quota.Window > 0 {
-		p.quotas.Start(settings.Host)
-	}
-	p.peers.CallHandler, p.peers.ControlHandler = &grants.Handler{Quotas: &p.quotas, Next: &p.handler}, p.links
+	p.peers.CallHandler, p.peers.ControlHandler = p.startQuotas(), p.links
 }
 
 // startControl adds the controllers to the board and starts the control thread.
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -126,28 +126,6 @@
 	value float64
 }
 
-// quotaGauges returns the gauges of quotas; none if they are not enforced.
-func (p *Proxy) quotaGauges() []gauge {
-	if p.settings.Load().Quota.Window == 0 {
-		return nil
-	}
-	source, counters := p.cells.TokenSource.Load(), p.quotas.Counters()
-	return []gauge{
-		{"quota_owner", asNumber(source.Owner)},
-		{"quota_share", source.Share},
-		{"quota_nodes", float64(source.Nodes)},
-		{"quota_granted", float64(counters.Granted.Load())},
-		{"quota_waited", float64(counters.Waited.Load())},
-		{"quota_refused", float64(counters.Refused.Load())},
-		{"quota_refunded", float64(counters.Refunded.Load())},
-		{"quota_local_admitted", float64(counters.LocalAdmitted.Load())},
-		{"quota_local_refused", float64(counters.LocalRefused.Load())},
-		{"quota_calls", float64(counters.Calls.Load())},
-		{"quota_calls_failed", float64(counters.FailedCalls.Load())},
-		{"quota_served", float64(counters.Served.Load())},
-	}
-}
-
 // updateGauges updates the gauges from the counters of traffic threads. It runs on the
 // control thread.
 func (p *Proxy) updateGauges(time.Time) {
--- a/internal/steer/quota.go
+++ b/internal/steer/quota.go
@@ -27,6 +27,18 @@
 	Refund(account mesh.Account)
 }
 
+// runWithToken runs a request that gets its token. A request that gets none is not counted
+// for the retry budget.
+func (r *Router) runWithToken(ctx context.Context, rs *requestState) *front.Response {
+	if response := r.acquireToken(ctx, rs); response != nil {
+		return response
+	}
+	r.Budget.RecordRequest(rs.request.Arrived, rs.service)
+	response := r.runAttempts(ctx, rs)
+	r.refundToken(rs)
+	return response
+}
+
 // acquireToken gets the token of a request. It returns the response to a request that may
 // not run, otherwise nil. A request needs one token for all of its attempts.
 func (r *Router) acquireToken(ctx context.Context, rs *requestState) *front.Response {
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -223,13 +223,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
 	defer cancel()
-	if response := r.acquireToken(ctx, rs); response != nil {
-		return response
-	}
-	r.Budget.RecordRequest(rs.request.Arrived, rs.service)
-	response := r.runAttempts(ctx, rs)
-	r.refundToken(rs)
-	return response
+	return r.runWithToken(ctx, rs)
 }
 
 // noRuleResponse returns the response to a request that no rule of the version in force
