--- a/internal/ctrl/proxy.go
+++ b/internal/ctrl/proxy.go
@@ -39,6 +39,7 @@
 		newProxyUpstream(proxy),
 		newRecordWriter(proxy, source),
 		newSourceSelector(proxy),
+		newTokenSource(proxy),
 		newVersionApplier(proxy, codec),
 		newPublisher(proxy, codec, clock),
 		newSweeper(proxy),
--- a/internal/proxy/accounts_test.go
+++ b/internal/proxy/accounts_test.go
@@ -43,12 +43,12 @@
 	m := newMeshWith(t, meshOptions{logger: zerolog.New(&lines), document: accountDocument(1, `{"name":"anna","api_keys":["sesame-1"],"rate_per_s":5,"burst":5}`)}, "orders")
 	p := m.proxies[0]
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if got := p.sendWithKey(t, "sesame-1"); !strings.HasPrefix(got, "200 ") {
+		if got := p.resultWithKey(t, "sesame-1"); !strings.HasPrefix(got, "200 ") {
 			return poll.Continue("%s", got)
 		}
 		return poll.Success()
 	}, pollTimeout)
-	assert.Equal(t, p.sendWithKey(t, "sesame-2"), "401 unknown-key")
+	assert.Equal(t, p.resultWithKey(t, "sesame-2"), "401 unknown-key")
 	current, err := m.client.Get(t.Context(), "config/main")
 	assert.NilError(t, err)
 	refused := []string{
@@ -70,7 +70,7 @@
 			}
 			return poll.Continue("document %d not refused yet: %+v", i, p.proxy.Status())
 		}, pollTimeout)
-		assert.Assert(t, strings.HasPrefix(p.sendWithKey(t, "sesame-1"), "200 "))
+		assert.Assert(t, strings.HasPrefix(p.resultWithKey(t, "sesame-1"), "200 "))
 	}
 	assert.Assert(t, strings.Contains(lines.String(), "unknown-key"), "the requests are logged")
 	assert.Assert(t, !strings.Contains(lines.String(), "sesame"), lines.String())
--- a/internal/proxy/revocation_test.go
+++ b/internal/proxy/revocation_test.go
@@ -22,26 +22,12 @@
 	return fmt.Appendf(bytes.TrimSuffix(document, []byte("}")), `,"tenants":[{"name":"anna","api_keys":[%q]}]}`, key)
 }
 
-// sendWithKey sends a request with a key, or without one if it is empty, and returns the
+// resultWithKey sends a request with a key, or without one if it is empty, and returns the
 // status and the body.
-func (p *testProxy) sendWithKey(t *testing.T, key string) string {
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.proxy.Addresses().Callers.String()+"/o/x", nil)
-	assert.NilError(t, err)
-	request.Host = "a.example"
-	request.Header.Set("X-Request-Id", "keyed")
-	if key != "" {
-		request.Header.Set("Api-Key", key)
-	}
-	response, err := http.DefaultClient.Do(request)
-	assert.NilError(t, err)
-	defer response.Body.Close()
-	var body bytes.Buffer
-	_, err = body.ReadFrom(response.Body)
-	assert.NilError(t, err)
-	if response.StatusCode == http.StatusServiceUnavailable {
-		assert.Assert(t, response.Header.Get("Retry-After") != "")
-	}
-	return fmt.Sprintf("%d %s", response.StatusCode, strings.TrimSpace(body.String()))
+func (p *testProxy) resultWithKey(t *testing.T, key string) string {
+	status, body, retryAfter := p.sendWithKey(t, key)
+	assert.Equal(t, retryAfter != "", status == http.StatusServiceUnavailable)
+	return fmt.Sprintf("%d %s", status, body)
 }
 
 // TestKeysAreRefusedWhileTheStoreIsSilent guards against parts that are not connected: the
@@ -55,7 +41,7 @@
 	await := func(want string) {
 		for _, p := range m.proxies {
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				if got := p.sendWithKey(t, "key-a"); !strings.HasPrefix(got, want) {
+				if got := p.resultWithKey(t, "key-a"); !strings.HasPrefix(got, want) {
 					return poll.Continue("%s, version %d", got, p.proxy.Status().Version)
 				}
 				return poll.Success()
@@ -66,7 +52,7 @@
 	assert.NilError(t, m.objects.SetFaults(objapi.Faults{FreezeWatches: true}))
 	await("503 version-unverified")
 	for _, p := range m.proxies {
-		assert.Assert(t, strings.HasPrefix(p.sendWithKey(t, ""), "200 "))
+		assert.Assert(t, strings.HasPrefix(p.resultWithKey(t, ""), "200 "))
 	}
 	var metrics bytes.Buffer
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,7 @@
 		target = serve.Target{}
 	}
 	p.handler.SetTarget(target)
+	p.quotas.Apply(snapshot)
 }
 
 // reportUnreachable tells the control thread that connections to the upstream fail.
@@ -118,15 +120,18 @@
 	}
 }
 
+// gauge is a metric that is updated once a second.
+type gauge struct {
+	name  string
+	value float64
+}
+
 // updateGauges updates the gauges from the counters of traffic threads. It runs on the
 // control thread.
 func (p *Proxy) updateGauges(now time.Time) {
 	p.updateVerifiedAge(now)
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
-	gauges := []struct {
-		name  string
-		value float64
-	}{
+	gauges := []gauge{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
@@ -144,7 +149,7 @@
 		{"requests_unanswered", float64(p.front.PendingRequests())},
 		{"log_lines_dropped", float64(p.requestLog.droppedLines.Load())},
 	}
-	for _, g := range gauges {
+	for _, g := range slices.Concat(gauges, p.quotaGauges()) {
 		p.metrics.Scope.Gauge(g.name).Update(g.value)
 	}
 }
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -106,6 +106,9 @@
 	// KeyGuard limits the use of revoked keys. If nil, there is no limit.
 	KeyGuard KeyGuard
 
+	// Quotas decides whether requests of accounts may run; nil admits all.
+	Quotas Quotas
+
 	// Memory is the memory for response bodies. It must be set.
 	Memory *quota.Memory
 
@@ -224,10 +227,9 @@
 	if r.FinishBy != nil && serve.EndsTooLate(r.FinishBy(), rs.deadline) {
 		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonStopping, noUpstreamRetryAfter)
 	}
-	r.Budget.RecordRequest(rs.request.Arrived, rs.service)
 	ctx, cancel := context.WithDeadline(ctx, rs.deadline)
 	defer cancel()
-	return r.runAttempts(ctx, rs)
+	return r.runWithToken(ctx, rs)
 }
 
 // noRuleResponse returns the response to a request that no rule of the version in force
