--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -44,8 +44,6 @@
 	objects *objapi.Server
 	client  *store.Client
 	proxies []*testProxy
-	// configure changes the settings of the proxies; nil for no change.
-	configure func(settings *conf.Proxy)
 }
 
 // testProxy is a proxy with its upstream.
