Give nested calls the priority of the request they are made for

A request of the most urgent accounts fails if its nested call fails, but the call is anonymous and was as urgent as its own rule, so it competed with the least urgent requests of the called service. The called node lifted it by one, without knowing what it was made for.

The proxy beside the calling upstream now counts what its upstream runs by priority. An anonymous request on a rule that allows it, of a route that only upstreams call (the called node reports that in its reply), while the upstream runs requests, is a nested call. It gets the priority of the most urgent running request, and the called node keeps to it. Versions without accounts keep the detection at the called node. Nested calls prefer near upstreams more strongly, and are not retried in another region if less than twice the expected latency remains.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -40,6 +40,7 @@
 	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/nested"
 	"arbutusstep.example/arbutusstep/pkg/plan"
 	"arbutusstep.example/arbutusstep/pkg/retry"
 )
@@ -121,6 +122,7 @@
 	bodyMemory    quota.Memory
 	gate          gate.Gate
 	handler       serve.Handler
+	nestedCalls   nested.Tracker
 	router        steer.Router
 	front         front.Server
 	metrics       *meter.Meter
@@ -223,6 +225,7 @@
 	p.handler.Link, p.front.Link, p.handler.Memory = &p.egressLink, &p.egressLink, &p.bodyMemory
 	p.handler.Gate, p.handler.Headers = &p.gate, p.platform.Headers
 	p.handler.OnUnreachable, p.handler.OnUnanswered = p.reportUnreachable, p.requestLog.logUnanswered
+	p.handler.Runs, p.router.Nested = &p.nestedCalls, &p.nestedCalls
 	p.handler.FinishBy, p.router.FinishBy = p.finishBy, p.finishBy
 	p.handler.OnPanic, p.router.OnPanic = p.logPanic, p.logPanic
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -67,6 +67,8 @@
 	// service. It may be nil, which turns off the detection of routes that only
 	// upstreams call. It must not block.
 	ServiceShare func() float64
+	// Runs records the calls that the upstream runs; nil means that nobody asks for them.
+	Runs Runs
 
 	// Headers encodes and decodes the headers that are exchanged with the upstream;
 	// nil means those of docs/INTERFACE.md. It must not be changed after the first
@@ -196,6 +198,8 @@
 	// transfer is the reservation of the network link for the response; nil if the
 	// response is expected to be short.
 	transfer *egress.Transfer
+	// onlyUpstreams is true if only upstreams make calls of the route.
+	onlyUpstreams bool
 	// expectedServiceTime is the expected service time of a call that the gate
 	// rejected; zero if unknown.
 	expectedServiceTime time.Duration
@@ -215,7 +219,8 @@
 	}
 	defer transfer.End()
 	state.transfer = transfer
-	permit, err := h.Gate.AcquireFor(ctx, h.gateRequest(ctx, state))
+	request := h.gateRequest(ctx, state)
+	permit, err := h.Gate.AcquireFor(ctx, request)
 	if err != nil {
 		var rejected *gate.RejectedError
 		if !errors.As(err, &rejected) {
@@ -226,8 +231,9 @@
 		return
 	}
 	result := gate.Result{Failed: true}
-	defer func() { permit.Release(result) }()
-	state.releaseSlot = func() { permit.Release(gate.Result{}) }
+	end := h.beginRun(request.Priority)
+	defer func() { end(); permit.Release(result) }()
+	state.releaseSlot = func() { end(); permit.Release(gate.Result{}) }
 	if ctx.Err() != nil {
 		// The slot may have been granted just when the call was canceled.
 		result = gate.Result{NotRun: true}
@@ -242,27 +248,6 @@
 	result = h.forward(ctx, state)
 }
 
-// gateRequest returns the request to the gate for a call. A call that an upstream
-// makes may wait longer and goes before others of its priority, because without
-// it the request that the upstream is running would be lost.
-func (h *Handler) gateRequest(ctx context.Context, state *callState) (request gate.Request) {
-	head := state.call.Head
-	request = gate.Request{
-		Priority: mesh.Priority(head.GetPriority()), Class: head.GetRoute(),
-		TypicalServiceTime: time.Duration(head.GetTypicalMicros()) * time.Microsecond, Overdue: head.GetOverdue(),
-	}
-	request.Deadline, _ = ctx.Deadline()
-	within := head.GetStartWithinMicros()
-	if h.ServiceShare != nil && h.origins.recordCall(head.GetRoute(), mesh.Service(head.GetCallerService()), state.upstream.service, h.ServiceShare()) {
-		within = max(within, head.GetPatientMicros())
-		request.Priority, request.Overdue = min(request.Priority+1, mesh.Urgent), false
-	}
-	if within > 0 {
-		request.StartBy = state.arrivedAt.Add(time.Duration(within) * time.Microsecond)
-	}
-	return request
-}
-
 // forward sends the call to the upstream and the response back to the caller's
 // node.
 func (h *Handler) forward(ctx context.Context, state *callState) (result gate.Result) {
@@ -381,6 +366,7 @@
 		NodeMicros:    elapsedMicros(state.arrivedAt),
 		LinkMicros:    h.linkWait().Microseconds(),
 		CallsPercent:  h.fanOutPercent(),
+		OnlyUpstreams: state.onlyUpstreams,
 	}
 }
 
--- a/internal/serve/origin.go
+++ b/internal/serve/origin.go
@@ -1,8 +1,11 @@
 package serve
 
 import (
+	"context"
 	"sync"
+	"time"
 
+	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
@@ -18,6 +21,51 @@
 	decayCalls = 4096
 )
 
+// Runs records the requests that the upstream runs.
+type Runs interface {
+	// Begin records that a request runs until the returned function is called.
+	Begin(priority mesh.Priority) (end func())
+}
+
+func (h *Handler) beginRun(priority mesh.Priority) (end func()) {
+	if h.Runs == nil {
+		return func() {}
+	}
+	return h.Runs.Begin(priority)
+}
+
+// gateRequest returns the request to the gate for a call. A call that an upstream
+// makes may wait longer and is never overdue, because without it the request that the
+// upstream is running would be lost. It has the priority of that request if the node
+// beside that upstream sent it. Otherwise a call on a route that only upstreams call
+// goes before others of its priority.
+func (h *Handler) gateRequest(ctx context.Context, state *callState) (request gate.Request) {
+	head := state.call.Head
+	request = gate.Request{
+		Priority: mesh.Priority(head.GetPriority()), Class: head.GetRoute(), Overdue: head.GetOverdue(),
+		TypicalServiceTime: time.Duration(head.GetTypicalMicros()) * time.Microsecond,
+		Account:            mesh.Account(head.GetAccount()), Weight: head.GetAccountWeight(),
+	}
+	request.Deadline, _ = ctx.Deadline()
+	origin := mesh.Service(head.GetCallerService())
+	if head.GetAccount() != "" {
+		// Upstreams send no keys, so this is a caller, wherever its request came in.
+		origin = state.upstream.service
+	}
+	state.onlyUpstreams = h.ServiceShare != nil && h.origins.recordCall(head.GetRoute(), origin, state.upstream.service, h.ServiceShare())
+	within := head.GetStartWithinMicros()
+	if head.GetNested() || state.onlyUpstreams {
+		within, request.Overdue = max(within, head.GetPatientMicros()), false
+		if !head.GetNested() {
+			request.Priority = min(request.Priority+1, mesh.Urgent)
+		}
+	}
+	if within > 0 {
+		request.StartBy = state.arrivedAt.Add(time.Duration(within) * time.Microsecond)
+	}
+	return request
+}
+
 // originTracker detects the routes that only upstreams call. Callers send requests
 // to all hosts, including those of the called service; an upstream sends its calls
 // only through its own host. It is safe for concurrent use.
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -95,6 +95,10 @@
 	// Service returns the service of the upstream of this node.
 	Service func() mesh.Service
 
+	// Nested tells the calls of this node's upstream from requests of callers; nil means
+	// that all are requests of callers.
+	Nested NestedCalls
+
 	// FinishBy returns the time by which a request must be finished to be taken, as the
 	// process ends then; zero means no limit. It may be nil and must not block.
 	FinishBy func() time.Time
@@ -119,7 +123,11 @@
 	record  RequestRecord
 	rule    *plan.Rule
 	// account is the client account of the request; nil if it is anonymous.
-	account  *plan.Account
+	account *plan.Account
+	// priority is that of the rule and the account, or for a nested call that of the
+	// request it is made for.
+	priority mesh.Priority
+	nested   bool
 	service  mesh.Service
 	snapshot cells.ProxySnapshot
 	// tried lists the hosts of the attempts so far.
@@ -205,6 +213,7 @@
 	if response := r.identify(rs); response != nil {
 		return response
 	}
+	r.classify(rs)
 	if rs.service, found = rule.ChooseService(rand.Float64()); !found {
 		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonNoService, noVersionRetryAfter)
 	}
@@ -270,7 +279,7 @@
 		if err != nil {
 			return r.failureResponse(ctx, rs, nil)
 		}
-		if len(rs.tried) > 0 && time.Until(rs.deadline) < expected/2 {
+		if len(rs.tried) > 0 && (time.Until(rs.deadline) < expected/2 || r.tooFarForRetry(rs, candidate, expected)) {
 			return r.failureResponse(ctx, rs, nil)
 		}
 		response, callErr := r.attempt(ctx, rs, candidate, expected)
@@ -339,6 +348,9 @@
 			Host: r.latencyTarget(rs) * largeHostCostPercent / 100, Zone: r.latencyTarget(rs) * largeZoneCostPercent / 100, Region: r.latencyTarget(rs) * largeRegionCostPercent / 100,
 		}
 	}
+	if rs.nested {
+		return r.nestedDistanceCosts(rs)
+	}
 	zone := r.latencyTarget(rs) * zoneCostPercent / 100
 	return pick.DistanceCosts{Zone: zone, Region: zone + regionCost}
 }
@@ -373,6 +385,7 @@
 	pending.End(now, outcome)
 	if reply != nil {
 		r.Budget.RecordFanOut(now, rs.service, float64(reply.Head.GetCallsPercent())/100)
+		r.reportOrigin(now, rs, reply.Head.GetOnlyUpstreams())
 	}
 	r.recordAttempt(rs, Attempt{Host: candidate.Host, ExpectedLatency: expected}, start, reply, callErr)
 	if callErr != nil {
@@ -394,7 +407,7 @@
 	startWithin, maxWait := r.queueLimits(rs, typical)
 	head := &wire.CallHead{
 		Service: string(rs.service), Method: rs.request.Method, Path: rs.request.Target, Headers: r.upstreamHeaders(rs),
-		Priority: uint32(rs.snapshot.Plan.Priority(rs.rule, rs.account)), Account: string(rs.record.Account), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
+		Priority: uint32(rs.priority), Nested: rs.nested, Account: string(rs.record.Account), AccountWeight: rs.snapshot.Plan.Weight(rs.account), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
 		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
--- a/pkg/gate/request.go
+++ b/pkg/gate/request.go
@@ -94,6 +94,12 @@
 	// TypicalServiceTime is the service time of such requests at other upstreams,
 	// used until this gate has samples of its own; 0 if unknown.
 	TypicalServiceTime time.Duration
+	// Account is the client account that the slots and places of a priority are shared
+	// by; empty if the request is anonymous.
+	Account mesh.Account
+	// Weight is the share of the account relative to that of others; a value that is not
+	// above zero counts as 1.
+	Weight float64
 
 	state     State
 	rejection RejectedError
