Limit pending requests and retries of one account

An account whose requests wait or fail could hold all requests that a proxy has memory for, and take the whole retry budget of a service.

Of the retry budget of a service it gets no more than is left for the others. Anonymous requests and versions without accounts behave as before.

--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -122,7 +122,7 @@
 // control thread.
 func (p *Proxy) updateGauges(time.Time) {
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
-	sharing := p.gate.Sharing()
+	sharing, intake := p.gate.Sharing(), p.router.Intake.Stats()
 	nestedCalls, raised := p.nestedCalls.Stats()
 	gauges := []struct {
 		name  string
@@ -136,6 +136,9 @@
 		{"gate_accounts_waiting", float64(sharing.Accounts)},
 		{"gate_largest_account_percent", float64(sharing.LargestPercent)},
 		{"gate_displaced_by_share", float64(sharing.Displaced)},
+		{"accounts_pending", float64(intake.Accounts)},
+		{"largest_account_pending", float64(intake.Largest)},
+		{"requests_account_refused", float64(intake.Refused)},
 		{"nested_calls_urgent", float64(nestedCalls[mesh.Urgent])},
 		{"nested_calls_high", float64(nestedCalls[mesh.High])},
 		{"nested_calls_normal", float64(nestedCalls[mesh.Normal])},
--- a/internal/steer/account_test.go
+++ b/internal/steer/account_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -108,3 +111,42 @@
 	}
 	assert.DeepEqual(t, names, []string{"Key", "Account", "origin"})
 }
+
+// TestAccountWithTooManyPendingRequestsIsRefused guards against an account that holds all
+// requests that a proxy can have in progress, and against a refusal of other accounts.
+func TestAccountWithTooManyPendingRequestsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller := &scriptedCaller{results: []callResult{{status: http.StatusOK, delay: 500 * time.Millisecond}}}
+		r, _ := newRouter(t, plan.Idempotent, 1, caller)
+		source := r.Snapshots.(fixedSnapshot)
+		source.snapshot.Plan = accountPlan(t)
+		r.Snapshots = source
+		r.Recorder = discardedRecords{}
+		r.Intake.Limit = 20
+		var mutex sync.Mutex
+		statuses := map[string][]int{}
+		var requests sync.WaitGroup
+		for i := range 20 {
+			key := "key-a1"
+			if i >= 18 {
+				key = "key-b"
+			}
+			requests.Go(func() {
+				response := r.Handle(t.Context(), getRequest("/keyed/1", key))
+				mutex.Lock()
+				defer mutex.Unlock()
+				statuses[key] = append(statuses[key], response.Status)
+			})
+			synctest.Wait()
+		}
+		requests.Wait()
+		refused := slices.Index(statuses["key-a1"], http.StatusServiceUnavailable) >= 0
+		assert.Assert(t, refused)
+		assert.DeepEqual(t, statuses["key-b"], []int{http.StatusOK, http.StatusOK})
+		assert.Equal(t, r.Handle(t.Context(), getRequest("/keyed/1", "key-a1")).Status, http.StatusOK)
+	})
+}
+
+type discardedRecords struct{}
+
+func (discardedRecords) Record(steer.RequestRecord) {}
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -32,6 +32,9 @@
 	ReasonNoKey      = "no-key"
 	ReasonUnknownKey = "unknown-key"
 	ReasonBadHeader  = "bad-header"
+	// ReasonAccountPending means that too many requests of the account are in progress at
+	// this node.
+	ReasonAccountPending = "account-pending"
 	// ReasonNoService means that all services of the rule have weight zero.
 	ReasonNoService = "no-service"
 	// ReasonStopping means that this process may end before the request would.
@@ -164,7 +167,7 @@
 	if rs.upstreamAttempts >= rs.rule.MaxAttempts || len(rs.tried) >= maxAttemptedHosts || time.Until(rs.deadline) < r.Picker.TypicalServiceTime(rs.rule.Name)/2 {
 		return false
 	}
-	return r.Budget.TryWithdraw(time.Now(), rs.service, rs.snapshot.NodeCount)
+	return r.Budget.TryWithdrawFor(time.Now(), rs.service, rs.record.Account, rs.snapshot.NodeCount)
 }
 
 // replaceUnsafeStatus returns the response of an upstream, or an error response if its
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -21,6 +21,7 @@
 	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/gate"
+	"arbutusstep.example/arbutusstep/pkg/intake"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 	"arbutusstep.example/arbutusstep/pkg/plan"
@@ -112,6 +113,7 @@
 
 	Picker   pick.Picker
 	Budget   retry.SharedBudget
+	Intake   intake.Limiter
 	timeouts timeoutTracker
 
 	attemptCount atomic.Uint64
@@ -213,6 +215,13 @@
 	if response := r.identify(rs); response != nil {
 		return response
 	}
+	if rs.snapshot.Plan.HasAccounts() {
+		end, admitted := r.Intake.Begin(rs.record.Account)
+		if !admitted {
+			return r.localResponse(rs, http.StatusServiceUnavailable, ReasonAccountPending, r.retryAfterOverload(rs))
+		}
+		defer end()
+	}
 	r.classify(rs)
 	if rs.service, found = rule.ChooseService(rand.Float64()); !found {
 		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonNoService, noVersionRetryAfter)
--- a/pkg/retry/shared.go
+++ b/pkg/retry/shared.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -56,6 +57,15 @@
 	// fanOut is the moving average of the calls to another service that one request
 	// makes.
 	fanOut float64
+	// byAccount holds the recent retries of each client account; nil until one has any.
+	byAccount map[mesh.Account]*recentRetries
+}
+
+// recentRetries is the number of retries of one account. Their weight falls with the
+// window of the limit as its time constant.
+type recentRetries struct {
+	count   float64
+	updated time.Time
 }
 
 // Configure sets the limit.
@@ -120,18 +130,30 @@
 // TryWithdraw counts a retry if this node's part of the limit allows another one,
 // and reports whether it does. nodes is the number of nodes that share the limit.
 func (b *SharedBudget) TryWithdraw(now time.Time, service mesh.Service, nodes int) (taken bool) {
+	return b.TryWithdrawFor(now, service, "", nodes)
+}
+
+// TryWithdrawFor is like TryWithdraw for a request of a client account; empty means an
+// anonymous request. An account gets no more retries than are left for the others, so
+// that one whose requests all fail takes at most half of the budget.
+func (b *SharedBudget) TryWithdrawFor(now time.Time, service mesh.Service, account mesh.Account, nodes int) (taken bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	c, index := b.countersOf(now, service)
 	if c == nil || !b.allows(c, 1, nodes) {
 		return false
 	}
+	used := c.retriesOf(now, account, b.limit.Window)
+	if used >= max(1, b.left(c, nodes)) {
+		return false
+	}
 	for other := range b.services {
 		if o, _ := b.countersOf(now, other); other != service && !b.allows(o, c.fanOut, nodes) {
 			return false
 		}
 	}
 	c.retries[index]++
+	c.addRetry(now, account, used)
 	for other, o := range b.services {
 		if other != service {
 			o.retries[index] += c.fanOut
@@ -143,8 +165,38 @@
 // allows reports whether this node's part of the limit allows that many more
 // retries.
 func (b *SharedBudget) allows(c *counters, extra float64, nodes int) bool {
+	return extra == 0 || extra <= b.left(c, nodes)
+}
+
+// left returns how many more retries this node's part of the limit allows.
+func (b *SharedBudget) left(c *counters, nodes int) float64 {
 	allowed := (b.limit.Ratio*sum(&c.requests) + b.limit.Slack/float64(max(nodes, 1))) * usedPercent / 100
-	return extra == 0 || sum(&c.retries)+extra <= allowed
+	return allowed - sum(&c.retries)
+}
+
+// retriesOf returns the recent retries of an account, zero for anonymous requests.
+func (c *counters) retriesOf(now time.Time, account mesh.Account, window time.Duration) float64 {
+	r := c.byAccount[account]
+	if r == nil {
+		return 0
+	}
+	return r.count * math.Exp(-float64(now.Sub(r.updated))/float64(window))
+}
+
+// addRetry counts a retry of an account that had that many recent ones.
+func (c *counters) addRetry(now time.Time, account mesh.Account, recent float64) {
+	if account == "" {
+		return
+	}
+	r := c.byAccount[account]
+	if r == nil {
+		if c.byAccount == nil || len(c.byAccount) >= maxAccounts {
+			c.byAccount = make(map[mesh.Account]*recentRetries)
+		}
+		r = &recentRetries{}
+		c.byAccount[account] = r
+	}
+	r.count, r.updated = recent+1, now
 }
 
 func sum(buckets *[windowBuckets + 1]float64) (total float64) {
