--- a/pkg/gate/share.go
+++ b/pkg/gate/share.go
@@ -65,9 +65,10 @@
 	// leastUsual and leastWeight are the usual load and the weight of an account that is
 	// new or offers little.
 	leastUsual, leastWeight float64
-	// learnedSince is when the first request of an account arrived, and learnedAt when
-	// the weights were last updated; zero before.
-	learnedSince, learnedAt time.Time
+	// learnedAt is when the weights were last updated, zero before the first request of
+	// an account, and learnedFor the time that they were learned for.
+	learnedAt  time.Time
+	learnedFor time.Duration
 }
 
 // of returns the flow of a request and creates it if needed.
--- a/pkg/gate/share_test.go
+++ b/pkg/gate/share_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime"
 	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
@@ -159,6 +161,112 @@
 	}
 }
 
+// TestUsualLoadOutlastsPauses guards against weights that follow a flood of minutes, or
+// that are forgotten while an upstream has no requests.
+func TestUsualLoadOutlastsPauses(t *testing.T) {
+	const large, small = 10, 1
+	tests := []struct {
+		name string
+		// pause is the time without requests, and then each account sends that many
+		// requests a second for a minute.
+		pause        time.Duration
+		large, small int
+		min, max     float64
+	}{
+		{name: "steady", large: large, small: small, min: 9, max: 11},
+		{name: "night", pause: 10 * time.Hour, large: large, small: small, min: 9, max: 11},
+		{name: "flood of the small account", large: large, small: 6 * small, min: 8.5, max: 11},
+		{name: "the large account stops", small: small, min: 7.5, max: 11},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var fs flows
+			now := simStart
+			send := func(seconds, large, small int) {
+				for range seconds {
+					now = now.Add(time.Second)
+					for _, s := range append(times(large, shareRequest{account: "large"}), times(small, shareRequest{account: "small"})...) {
+						r := s.request()
+						r.cost = shareService
+						fs.learn(now, r)
+					}
+				}
+			}
+			send(20*60, large, small)
+			now = now.Add(tt.pause)
+			send(60, tt.large, tt.small)
+			ratio := fs.byAccount["large"].usage.usual / fs.byAccount["small"].usage.usual
+			assert.Assert(t, ratio >= tt.min && ratio <= tt.max, "ratio %v", ratio)
+		})
+	}
+}
+
+// TestSharedQueueStaysConsistent guards against counts of flows that differ from the
+// waiting requests, against lost requests, and against slots that stay free while requests
+// wait.
+func TestSharedQueueStaysConsistent(t *testing.T) {
+	accounts := []mesh.Account{"", "a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		q := &Queue{}
+		now := simStart
+		q.Configure(now, Config{
+			Slots: rapid.IntRange(1, 3).Draw(t, "slots"), QueueLimit: rapid.IntRange(1, 10).Draw(t, "limit"),
+			FixedLimit: true, PredictWait: rapid.Bool().Draw(t, "predict"),
+		})
+		var requests []*Request
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if len(requests) > 0 {
+					r := requests[rapid.IntRange(0, len(requests)-1).Draw(t, "request")]
+					q.Cancel(now, r)
+					q.Done(now, r, Result{})
+				}
+			case 1:
+				q.Expire(now)
+			default:
+				r := shareRequest{account: rapid.SampledFrom(accounts).Draw(t, "account"), priority: mesh.Priority(rapid.IntRange(0, 1).Draw(t, "priority")), overdue: rapid.Bool().Draw(t, "overdue")}.request()
+				r.StartBy = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "within")) * time.Millisecond)
+				requests = append(requests, r)
+				q.Offer(now, r)
+			}
+			checkFlows(t, q, requests)
+			assert.Assert(t, q.waiting == 0 || q.running >= q.slots(), "%d wait while %d of %d run", q.waiting, q.running, q.slots())
+		}
+	})
+}
+
+func checkFlows(t *rapid.T, q *Queue, requests []*Request) {
+	waiting := 0
+	for p := range q.subqueues {
+		fs, counts := &q.subqueues[p].flows, map[*flow]int{}
+		for _, r := range q.subqueues[p].requests {
+			counts[r.flow]++
+			waiting++
+		}
+		weights, accounts := 0.0, 0
+		for _, f := range fs.byAccount {
+			assert.Equal(t, f.waiting, counts[f])
+			if f.waiting > 0 {
+				weights += f.weight
+				accounts++
+			}
+		}
+		assert.Equal(t, fs.anonymous.waiting, counts[&fs.anonymous])
+		assert.Equal(t, fs.waiting, accounts)
+		assert.Assert(t, math.Abs(fs.weights-weights) < 1e-9, "weights %v, sum %v", fs.weights, weights)
+	}
+	states := 0
+	for _, r := range requests {
+		assert.Assert(t, r.State() != New)
+		if r.State() == Waiting {
+			states++
+		}
+	}
+	assert.Equal(t, waiting, states)
+}
+
 // BenchmarkSharedQueue measures decisions in a full queue of 86 accounts and their memory.
 func BenchmarkSharedQueue(b *testing.B) {
 	q, offer := fullSharedQueue()
--- a/pkg/gate/usage.go
+++ b/pkg/gate/usage.go
@@ -8,6 +8,9 @@
 const (
 	// learnInterval is the time between two updates of the weights.
 	learnInterval = time.Second
+	// maxLearnGap bounds the time without requests that counts, so that the usual loads
+	// outlast an idle night.
+	maxLearnGap = 10 * time.Second
 	// learnTime is the time at the start for which the usual load is the plain mean. The
 	// weights begin equal and reach their exponent at its end, so that a flood during a
 	// restart counts little as usual.
@@ -56,15 +59,17 @@
 	}
 	f := fs.of(r)
 	f.usage.work += r.cost.Seconds()
-	if fs.learnedSince.IsZero() {
-		fs.learnedSince, fs.learnedAt = now, now
+	if fs.learnedAt.IsZero() {
+		fs.learnedAt = now
 	}
 	elapsed := now.Sub(fs.learnedAt)
 	if elapsed < learnInterval {
 		return
 	}
+	elapsed = min(elapsed, maxLearnGap)
 	fs.learnedAt = now
-	age := now.Sub(fs.learnedSince).Seconds()
+	fs.learnedFor += elapsed
+	age := fs.learnedFor.Seconds()
 	recentGain, usualGain := gain(elapsed, recentTime), gain(elapsed, usualTime)
 	sum := 0.0
 	for _, f := range fs.byAccount {
