--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -198,8 +198,9 @@
 	// transfer is the reservation of the network link for the response; nil if the
 	// response is expected to be short.
 	transfer *egress.Transfer
-	// onlyUpstreams is true if only upstreams make calls of the route.
-	onlyUpstreams bool
+	// onlyUpstreams is true if only upstreams make calls of the route, and callersKnown
+	// if callers do, too.
+	onlyUpstreams, callersKnown bool
 	// expectedServiceTime is the expected service time of a call that the gate
 	// rejected; zero if unknown.
 	expectedServiceTime time.Duration
@@ -367,6 +368,7 @@
 		LinkMicros:    h.linkWait().Microseconds(),
 		CallsPercent:  h.fanOutPercent(),
 		OnlyUpstreams: state.onlyUpstreams,
+		CallersKnown:  state.callersKnown,
 	}
 }
 
--- a/internal/serve/nested_test.go
+++ b/internal/serve/nested_test.go
@@ -24,12 +24,13 @@
 		wantWithin  time.Duration
 		wantOverdue bool
 		wantOnly    bool
+		wantCallers bool
 	}{
 		{name: "few calls", head: &wire.CallHead{Overdue: true}, calls: 5, want: mesh.Normal, wantWithin: within, wantOverdue: true},
 		{name: "only upstreams call", head: &wire.CallHead{Overdue: true}, calls: 50, want: mesh.High, wantWithin: patient, wantOnly: true},
 		{name: "nested", head: &wire.CallHead{Nested: true, Overdue: true}, calls: 1, want: mesh.Normal, wantWithin: patient},
 		{name: "nested on a known route", head: &wire.CallHead{Nested: true}, calls: 50, want: mesh.Normal, wantWithin: patient, wantOnly: true},
-		{name: "account", head: &wire.CallHead{Account: "anna", Overdue: true}, calls: 50, want: mesh.Normal, wantWithin: within, wantOverdue: true},
+		{name: "account", head: &wire.CallHead{Account: "anna", Overdue: true}, calls: 50, want: mesh.Normal, wantWithin: within, wantOverdue: true, wantCallers: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -47,6 +48,7 @@
 			assert.Equal(t, request.Overdue, tt.wantOverdue)
 			assert.Equal(t, string(request.Account), tt.head.GetAccount())
 			assert.Equal(t, state.onlyUpstreams, tt.wantOnly)
+			assert.Equal(t, state.callersKnown, tt.wantCallers)
 		})
 	}
 }
--- a/internal/serve/origin.go
+++ b/internal/serve/origin.go
@@ -53,6 +53,7 @@
 		origin = state.upstream.service
 	}
 	state.onlyUpstreams = h.ServiceShare != nil && h.origins.recordCall(head.GetRoute(), origin, state.upstream.service, h.ServiceShare())
+	state.callersKnown = h.origins.callersKnown(head.GetRoute())
 	within := head.GetStartWithinMicros()
 	if head.GetNested() || state.onlyUpstreams {
 		within, request.Overdue = max(within, head.GetPatientMicros()), false
@@ -111,3 +112,11 @@
 	}
 	return counts.local == 0 && float64(counts.calls)*share >= minExpectedLocalCalls
 }
+
+// callersKnown reports whether callers are known to send requests of the route.
+func (o *originTracker) callersKnown(route string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	counts := o.routes[route]
+	return counts != nil && counts.local > 0
+}
--- a/internal/steer/nested.go
+++ b/internal/steer/nested.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 )
@@ -28,7 +29,7 @@
 	// gives it the priority ruled, and whether it is a nested call.
 	Priority(now time.Time, route string, ruled mesh.Priority) (priority mesh.Priority, isNested bool)
 	// Report records whether only upstreams make calls of the route, as a called node
-	// reports.
+	// that has seen enough of them reports.
 	Report(now time.Time, route string, onlyUpstreams bool)
 }
 
@@ -44,9 +45,10 @@
 }
 
 // reportOrigin records what a called node reports about the calls of the rule.
-func (r *Router) reportOrigin(now time.Time, rs *requestState, onlyUpstreams bool) {
-	if r.Nested != nil && rs.snapshot.Plan.HasAccounts() && rs.rule.AllowAnonymous {
-		r.Nested.Report(now, rs.rule.Name, onlyUpstreams)
+func (r *Router) reportOrigin(now time.Time, rs *requestState, reply *wire.ReplyHead) {
+	known := reply.GetOnlyUpstreams() || reply.GetCallersKnown()
+	if known && r.Nested != nil && rs.snapshot.Plan.HasAccounts() && rs.rule.AllowAnonymous {
+		r.Nested.Report(now, rs.rule.Name, reply.GetOnlyUpstreams())
 	}
 }
 
--- a/internal/steer/nested_test.go
+++ b/internal/steer/nested_test.go
@@ -36,8 +36,10 @@
 		path string
 		key  string
 		// running are the priorities of the requests that the upstream runs.
-		running      []mesh.Priority
-		report       bool
+		running []mesh.Priority
+		report  bool
+		// then is what another called node reports after that.
+		then         callResult
 		noAccounts   bool
 		wantPriority mesh.Priority
 		wantNested   bool
@@ -45,12 +47,15 @@
 		{name: "nested", path: "/open/1", running: []mesh.Priority{mesh.Low, mesh.Urgent}, report: true, wantPriority: mesh.Urgent, wantNested: true},
 		{name: "nothing runs", path: "/open/1", report: true, wantPriority: mesh.Normal},
 		{name: "callers use the route, too", path: "/open/1", running: []mesh.Priority{mesh.Urgent}, wantPriority: mesh.Normal},
+		{name: "callers are found later", path: "/open/1", running: []mesh.Priority{mesh.Urgent}, report: true, then: callResult{callersKnown: true}, wantPriority: mesh.Normal},
+		{name: "a restarted node knows nothing", path: "/open/1", running: []mesh.Priority{mesh.Low, mesh.Urgent}, report: true, wantPriority: mesh.Urgent, wantNested: true},
 		{name: "with a key", path: "/open/1", key: "key-b", running: []mesh.Priority{mesh.Urgent}, report: true, wantPriority: mesh.Normal},
 		{name: "no accounts", path: "/o/1", running: []mesh.Priority{mesh.Urgent}, report: true, noAccounts: true, wantPriority: mesh.High},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			caller := &scriptedCaller{results: []callResult{{status: http.StatusOK, onlyUpstreams: tt.report}}}
+			tt.then.status = http.StatusOK
+			caller := &scriptedCaller{results: []callResult{{status: http.StatusOK, onlyUpstreams: tt.report}, tt.then}}
 			r, _ := newRouter(t, plan.Idempotent, 1, caller)
 			if source := r.Snapshots.(fixedSnapshot); !tt.noAccounts {
 				source.snapshot.Plan = accountPlan(t)
@@ -58,13 +63,15 @@
 			}
 			tracker := &nested.Tracker{}
 			r.Nested = tracker
-			assert.Equal(t, r.Handle(t.Context(), getRequest(tt.path, tt.key)).Status, http.StatusOK)
+			for range 2 {
+				assert.Equal(t, r.Handle(t.Context(), getRequest(tt.path, tt.key)).Status, http.StatusOK)
+			}
 			for _, p := range tt.running {
 				tracker.Begin(p)
 			}
 			assert.Equal(t, r.Handle(t.Context(), getRequest(tt.path, tt.key)).Status, http.StatusOK)
-			assert.Equal(t, mesh.Priority(caller.calls[1].GetPriority()), tt.wantPriority)
-			assert.Equal(t, caller.calls[1].GetNested(), tt.wantNested)
+			assert.Equal(t, mesh.Priority(caller.calls[2].GetPriority()), tt.wantPriority)
+			assert.Equal(t, caller.calls[2].GetNested(), tt.wantNested)
 			assert.Assert(t, !caller.calls[0].GetNested())
 		})
 	}
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -394,7 +394,7 @@
 	pending.End(now, outcome)
 	if reply != nil {
 		r.Budget.RecordFanOut(now, rs.service, float64(reply.Head.GetCallsPercent())/100)
-		r.reportOrigin(now, rs, reply.Head.GetOnlyUpstreams())
+		r.reportOrigin(now, rs, reply.Head)
 	}
 	r.recordAttempt(rs, Attempt{Host: candidate.Host, ExpectedLatency: expected}, start, reply, callErr)
 	if callErr != nil {
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -84,8 +84,8 @@
 	delay time.Duration
 	// serviceTime is the service time that the upstream reports.
 	serviceTime time.Duration
-	// onlyUpstreams is reported by the called node.
-	onlyUpstreams bool
+	// onlyUpstreams and callersKnown are reported by the called node.
+	onlyUpstreams, callersKnown bool
 }
 
 // scriptedCaller returns the results in order, repeats the last one, and records the
@@ -117,7 +117,7 @@
 		return nil, next.callErr
 	}
 	return &peer.Reply{
-		Head: &wire.ReplyHead{Status: next.status, BodyLength: int64(len(next.body)), Headers: next.headers, ServiceMicros: next.serviceTime.Microseconds(), OnlyUpstreams: next.onlyUpstreams},
+		Head: &wire.ReplyHead{Status: next.status, BodyLength: int64(len(next.body)), Headers: next.headers, ServiceMicros: next.serviceTime.Microseconds(), OnlyUpstreams: next.onlyUpstreams, CallersKnown: next.callersKnown},
 		Body: io.NopCloser(strings.NewReader(next.body)),
 	}, nil
 }
--- a/pkg/nested/tracker.go
+++ b/pkg/nested/tracker.go
@@ -46,7 +46,8 @@
 	})
 }
 
-// Report records whether only upstreams make calls of the route, as a called node reports.
+// Report records whether only upstreams make calls of the route, as a called node that has
+// seen enough of them reports.
 func (t *Tracker) Report(now time.Time, route string, onlyUpstreams bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
