--- a/pkg/nested/nested_test.go
+++ b/pkg/nested/nested_test.go
@@ -144,3 +144,16 @@
 		})
 	}
 }
+
+// BenchmarkPriority measures the decision about one call while requests begin and end.
+func BenchmarkPriority(b *testing.B) {
+	var t nested.Tracker
+	t.Begin(mesh.High)
+	t.Report(simStart, "lesson", true)
+	b.ReportAllocs()
+	for b.Loop() {
+		end := t.Begin(mesh.Urgent)
+		t.Priority(simStart, "lesson", mesh.Normal)
+		end()
+	}
+}
