--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -131,12 +131,25 @@
 func (p *Proxy) updateGauges(now time.Time) {
 	p.updateVerifiedAge(now)
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
+	sharing, intake := p.gate.Sharing(), p.router.Intake.Stats()
+	nestedCalls, raised := p.nestedCalls.Stats()
 	gauges := []gauge{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
+		{"gate_accounts_waiting", float64(sharing.Accounts)},
+		{"gate_largest_account_percent", float64(sharing.LargestPercent)},
+		{"gate_displaced_by_share", float64(sharing.Displaced)},
+		{"accounts_pending", float64(intake.Accounts)},
+		{"largest_account_pending", float64(intake.Largest)},
+		{"requests_account_refused", float64(intake.Refused)},
+		{"nested_calls_urgent", float64(nestedCalls[mesh.Urgent])},
+		{"nested_calls_high", float64(nestedCalls[mesh.High])},
+		{"nested_calls_normal", float64(nestedCalls[mesh.Normal])},
+		{"nested_calls_low", float64(nestedCalls[mesh.Low])},
+		{"nested_calls_raised", float64(raised)},
 		{"calls_answered", float64(counters.Answered.Load())},
 		{"calls_not_run", float64(counters.NotRun.Load())},
 		{"calls_unknown", float64(counters.Unknown.Load())},
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -21,6 +21,7 @@
 	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/gate"
+	"arbutusstep.example/arbutusstep/pkg/intake"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 	"arbutusstep.example/arbutusstep/pkg/plan"
@@ -95,6 +96,10 @@
 	// Service returns the service of the upstream of this node.
 	Service func() mesh.Service
 
+	// Nested tells the calls of this node's upstream from requests of callers; nil means
+	// that all are requests of callers.
+	Nested NestedCalls
+
 	// FinishBy returns the time by which a request must be finished to be taken, as the
 	// process ends then; zero means no limit. It may be nil and must not block.
 	FinishBy func() time.Time
@@ -114,6 +119,7 @@
 
 	Picker   pick.Picker
 	Budget   retry.SharedBudget
+	Intake   intake.Limiter
 	timeouts timeoutTracker
 
 	attemptCount atomic.Uint64
@@ -128,8 +134,12 @@
 	account *plan.Account
 	// keysAdmitted is true if the request may be served with a key of snapshot.
 	keysAdmitted bool
-	service      mesh.Service
-	snapshot     cells.ProxySnapshot
+	// priority is that of the rule and the account, or for a nested call that of the
+	// request it is made for.
+	priority mesh.Priority
+	nested   bool
+	service  mesh.Service
+	snapshot cells.ProxySnapshot
 	// tried lists the hosts of the attempts so far.
 	tried []mesh.HostID
 	// upstreamAttempts counts the attempts that may have reached an upstream.
@@ -214,6 +224,14 @@
 	if response := r.identify(rs); response != nil {
 		return response
 	}
+	if rs.snapshot.Plan.HasAccounts() {
+		end, admitted := r.Intake.Begin(rs.record.Account)
+		if !admitted {
+			return r.localResponse(rs, http.StatusServiceUnavailable, ReasonAccountPending, r.retryAfterOverload(rs))
+		}
+		defer end()
+	}
+	r.classify(rs)
 	if rs.service, found = rule.ChooseService(rand.Float64()); !found {
 		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonNoService, noVersionRetryAfter)
 	}
@@ -278,7 +296,7 @@
 		if err != nil {
 			return r.failureResponse(ctx, rs, nil)
 		}
-		if len(rs.tried) > 0 && time.Until(rs.deadline) < expected/2 {
+		if len(rs.tried) > 0 && (time.Until(rs.deadline) < expected/2 || r.tooFarForRetry(rs, candidate, expected)) {
 			return r.failureResponse(ctx, rs, nil)
 		}
 		response, callErr := r.attempt(ctx, rs, candidate, expected)
@@ -347,6 +365,9 @@
 			Host: r.latencyTarget(rs) * largeHostCostPercent / 100, Zone: r.latencyTarget(rs) * largeZoneCostPercent / 100, Region: r.latencyTarget(rs) * largeRegionCostPercent / 100,
 		}
 	}
+	if rs.nested {
+		return r.nestedDistanceCosts(rs)
+	}
 	zone := r.latencyTarget(rs) * zoneCostPercent / 100
 	return pick.DistanceCosts{Zone: zone, Region: zone + regionCost}
 }
@@ -381,6 +402,7 @@
 	pending.End(now, outcome)
 	if reply != nil {
 		r.Budget.RecordFanOut(now, rs.service, float64(reply.Head.GetCallsPercent())/100)
+		r.reportOrigin(now, rs, reply.Head)
 	}
 	r.recordAttempt(rs, Attempt{Host: candidate.Host, ExpectedLatency: expected}, start, reply, callErr)
 	if callErr != nil {
@@ -402,7 +424,7 @@
 	startWithin, maxWait := r.queueLimits(rs, typical)
 	head := &wire.CallHead{
 		Service: string(rs.service), Method: rs.request.Method, Path: rs.request.Target, Headers: r.upstreamHeaders(rs),
-		Priority: uint32(rs.snapshot.Plan.Priority(rs.rule, rs.account)), Account: string(rs.record.Account), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
+		Priority: uint32(rs.priority), Nested: rs.nested, Account: string(rs.record.Account), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
 		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
--- a/pkg/gate/request.go
+++ b/pkg/gate/request.go
@@ -94,6 +94,17 @@
 	// TypicalServiceTime is the service time of such requests at other upstreams,
 	// used until this gate has samples of its own; 0 if unknown.
 	TypicalServiceTime time.Duration
+	// Account is the client account that the slots and places of a priority are shared
+	// by; empty if the request is anonymous.
+	Account mesh.Account
+
+	// flow, cost and order are valid once the request was queued. cost is the expected service
+	// time as of the arrival, above zero.
+	flow *flow
+	cost time.Duration
+	// order is StartBy as the time since the epoch of the flows, math.MaxInt64 if there
+	// is none. Comparing it is several times faster.
+	order time.Duration
 
 	state     State
 	rejection RejectedError
