Weigh accounts by their rates from the first request

A gate that starts knows no usual loads and gave all accounts equal weights for minutes. In overload, max-min sharing then takes nearly everything from the accounts that usually send most. Where all accounts at a gate have a rate in the document, their weights are these rates at once; otherwise usual loads are learned as before.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -235,6 +235,7 @@
 	p.handler.Runs, p.router.Nested = &p.nestedCalls, &p.nestedCalls
 	p.handler.FinishBy, p.router.FinishBy = p.finishBy, p.finishBy
 	p.handler.OnPanic, p.router.OnPanic = p.logPanic, p.logPanic
+	p.handler.AccountWeight = p.accountWeight
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
 	p.handler.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
 	p.handler.FanOut = func() float64 { return p.router.Budget.MaxFanOut(time.Now(), p.settings.Load().Service) }
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// accountWeight returns the rate of an account, by which accounts share an upstream.
+func (p *Proxy) accountWeight(name mesh.Account) float64 {
+	if account := p.cells.Snapshot.Load().Plan.Account(name); account != nil {
+		return account.Rate
+	}
+	return 0
+}
+
 // gauge is a metric that is updated once a second.
 type gauge struct {
 	name  string
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -58,6 +58,10 @@
 	// It may be nil and must not block.
 	OnPanic func(value any, stack []byte)
 
+	// AccountWeight returns the configured share of an account relative to others; zero
+	// if there is none. It may be nil and must not block.
+	AccountWeight func(account mesh.Account) float64
+
 	// OnForward is called for each call that is forwarded to the upstream. FanOut
 	// returns the maximum number of calls to another service that the upstream makes
 	// for one request. Both may be nil and must not block.
--- a/internal/serve/origin.go
+++ b/internal/serve/origin.go
@@ -46,6 +46,9 @@
 		TypicalServiceTime: time.Duration(head.GetTypicalMicros()) * time.Microsecond,
 		Account:            mesh.Account(head.GetAccount()),
 	}
+	if h.AccountWeight != nil && request.Account != "" {
+		request.Weight = h.AccountWeight(request.Account)
+	}
 	request.Deadline, _ = ctx.Deadline()
 	origin := mesh.Service(head.GetCallerService())
 	if head.GetAccount() != "" {
--- a/pkg/gate/request.go
+++ b/pkg/gate/request.go
@@ -97,6 +97,9 @@
 	// Account is the client account that the slots and places of a priority are shared
 	// by; empty if the request is anonymous.
 	Account mesh.Account
+	// Weight is the configured share of the account relative to other accounts; 0 if it
+	// is not known. It is used if all accounts have one, otherwise their usual loads.
+	Weight float64
 
 	// flow, cost and order are valid once the request was queued. cost is the expected service
 	// time as of the arrival, above zero.
--- a/pkg/gate/share.go
+++ b/pkg/gate/share.go
@@ -27,6 +27,9 @@
 	usage usage
 	// weight is the share of the account relative to that of others; see flows.learn.
 	weight float64
+	// configured is the Weight of the account's latest request, and learned the weight by
+	// the usual load.
+	configured, learned float64
 	// waiting is the number of waiting requests.
 	waiting int
 	// start is the start tag of the next request: the service that the account got, in
@@ -83,12 +86,14 @@
 		if fs.byAccount == nil {
 			fs.byAccount = make(map[mesh.Account]*flow)
 		}
-		f = &flow{weight: fs.leastWeight}
-		if f.weight == 0 {
-			f.weight = 1
+		f = &flow{learned: fs.leastWeight, configured: r.Weight}
+		if f.learned == 0 {
+			f.learned = 1
 		}
 		fs.byAccount[r.Account] = f
+		fs.setWeights()
 	}
+	f.configured = r.Weight
 	return f
 }
 
--- a/pkg/gate/share_test.go
+++ b/pkg/gate/share_test.go
@@ -20,10 +20,11 @@
 	priority mesh.Priority
 	startBy  time.Duration
 	overdue  bool
+	weight   float64
 }
 
 func (s shareRequest) request() *Request {
-	r := &Request{Priority: s.priority, Account: s.account, Overdue: s.overdue, TypicalServiceTime: 100 * time.Millisecond, Deadline: simStart.Add(time.Hour)}
+	r := &Request{Priority: s.priority, Account: s.account, Weight: s.weight, Overdue: s.overdue, TypicalServiceTime: 100 * time.Millisecond, Deadline: simStart.Add(time.Hour)}
 	if s.startBy > 0 {
 		r.StartBy = simStart.Add(s.startBy)
 	}
@@ -53,6 +54,14 @@
 		}, want: []int{3, 1, 2, 0}},
 		{name: "overdue requests of a small account", predict: true, requests: append(times(4, shareRequest{account: "a", startBy: time.Minute}), shareRequest{account: "b", startBy: time.Minute, overdue: true}), want: []int{0, 4, 1, 2, 3}},
 		{name: "anonymous requests beside accounts", requests: append(times(3, shareRequest{account: "a"}), times(3, shareRequest{})...), want: []int{0, 3, 1, 4, 2, 5}},
+		{
+			name: "configured weights hold from the first request", want: []int{0, 6, 1, 2, 3, 7, 4, 5},
+			requests: append(times(6, shareRequest{account: "a", weight: 40}), times(2, shareRequest{account: "b", weight: 10})...),
+		},
+		{
+			name: "weights that only some accounts have", want: []int{0, 4, 1, 5, 2, 3},
+			requests: append(times(4, shareRequest{account: "a", weight: 40}), times(2, shareRequest{account: "b"})...),
+		},
 		{name: "a more urgent priority first", requests: []shareRequest{{account: "a"}, {account: "b"}, {account: "a", priority: mesh.High}, {account: "a", priority: mesh.High}}, want: []int{2, 3, 0, 1}},
 	}
 	for _, tt := range tests {
--- a/pkg/gate/usage.go
+++ b/pkg/gate/usage.go
@@ -81,9 +81,28 @@
 	fs.anonymous.weight = math.Pow(fs.anonymous.usage.usual, exponent)
 	least := leastUsualShare * sum / float64(len(fs.byAccount))
 	fs.leastUsual, fs.leastWeight = least, math.Pow(least, exponent)
+	for _, f := range fs.byAccount {
+		f.learned = math.Pow(max(f.usage.usual, least), exponent)
+	}
+	fs.setWeights()
+}
+
+// setWeights sets the weights: the configured ones if all accounts have one, which hold
+// from the first request, otherwise those by the usual loads, which take minutes to learn.
+func (fs *flows) setWeights() {
+	sum, configured := 0.0, true
+	for _, f := range fs.byAccount {
+		sum += f.configured
+		configured = configured && f.configured > 0
+	}
+	least := leastUsualShare * sum / float64(max(1, len(fs.byAccount)))
 	fs.weights = 0
 	for _, f := range fs.byAccount {
-		if f.weight = math.Pow(max(f.usage.usual, least), exponent); f.waiting > 0 {
+		f.weight = f.learned
+		if configured {
+			f.weight = math.Pow(max(f.configured, least), weightExponent)
+		}
+		if f.waiting > 0 {
 			fs.weights += f.weight
 		}
 	}
