Decide how a service moves to another release

Nothing decided about releases of upstreams: a new one got its share of the requests at once. pkg/shift compares the outcomes of a few new upstreams with those of the old ones and ends an order as completed or rolled back.

--- a/pkg/mesh/names.go
+++ b/pkg/mesh/names.go
@@ -25,6 +25,9 @@
 // Account is the name of a client account, which identifies itself by a key.
 type Account string
 
+// Release is the version of the software of an upstream; empty if it reports none.
+type Release string
+
 // HostID identifies an upstream host and the node that runs on it.
 type HostID string
 
--- /dev/null
+++ b/pkg/shift/evidence.go
@@ -0,0 +1,222 @@
+package shift
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+)
+
+const (
+	// sliceTime is the resolution of the evidence.
+	sliceTime = 500 * time.Millisecond
+	// minFailures is the number of failures below which a release is not bad.
+	minFailures = 4
+	// failureFloor is the rate of failures, or of late requests, that is tolerated in any
+	// release, and failureFactor the tolerated multiple of the rate of the others.
+	failureFloor, failureFactor = 0.03, 2.0
+	// failureDoubt is the negative logarithm of the probability that a tolerable release
+	// shows such failures in one test.
+	failureDoubt = 10.0
+	// minTimed is the number of service times below which they are not compared.
+	minTimed = 6
+	// slowRatio is the ratio of service times above which a release is slow. Hosts of the
+	// same service differ by up to a factor of three.
+	slowRatio = 3.5
+	// slowDeviations is the number of standard errors by which service times must differ.
+	slowDeviations = 4.0
+	// minLogVariance is the least assumed variance of the logarithm of service times.
+	minLogVariance = 0.1
+	// minRouteResponses is the number of responses on a route that count as evidence.
+	minRouteResponses = 8
+)
+
+// windows are the spans over which the outcomes are tested. A fault that begins late
+// shows in the short ones first, a rare one in the whole time (zero).
+var windows = []time.Duration{1500 * time.Millisecond, 4 * time.Second, 0}
+
+// slice holds the counts of one sliceTime.
+type slice struct {
+	from   time.Time
+	counts Counts
+}
+
+// Evidence holds the outcomes of the releases of a service since an order. The zero
+// Evidence is empty.
+type Evidence struct {
+	slices []slice
+	total  Counts
+}
+
+// Add adds counts that were received now.
+func (e *Evidence) Add(now time.Time, counts Counts) {
+	if len(counts) == 0 {
+		return
+	}
+	if n := len(e.slices); n == 0 || now.Sub(e.slices[n-1].from) >= sliceTime {
+		e.slices = append(e.slices, slice{from: now, counts: make(Counts)})
+		e.slices = slices.DeleteFunc(e.slices, func(s slice) bool { return now.Sub(s.from) > slices.Max(windows)+sliceTime })
+	}
+	if e.total == nil {
+		e.total = make(Counts)
+	}
+	e.slices[len(e.slices)-1].counts.Add(counts)
+	e.total.Add(counts)
+}
+
+// Judge returns why the target is worse than the other releases; empty if nothing shows
+// that.
+func (e *Evidence) Judge(now time.Time, target mesh.Release) (reason string) {
+	for _, w := range windows {
+		sum := e.total
+		if w > 0 {
+			sum = make(Counts)
+			for _, s := range e.slices {
+				if now.Sub(s.from) <= w {
+					sum.Add(s.counts)
+				}
+			}
+		}
+		if reason = judge(sum, target); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+// Comparison holds the counts of one route: those of the target and of the others.
+type Comparison struct {
+	Target, Others Count
+}
+
+// ByRoute returns the counts of each route.
+func (e *Evidence) ByRoute(target mesh.Release) map[string]Comparison {
+	return byRoute(e.total, target)
+}
+
+func byRoute(counts Counts, target mesh.Release) map[string]Comparison {
+	routes := make(map[string]Comparison)
+	for key, c := range counts {
+		sum := Counts{{}: routes[key.Route].Others}
+		if key.Release == target {
+			sum = Counts{{}: routes[key.Route].Target}
+		}
+		sum.Add(Counts{{}: c})
+		entry := routes[key.Route]
+		if key.Release == target {
+			entry.Target = sum[Key{}]
+		} else {
+			entry.Others = sum[Key{}]
+		}
+		routes[key.Route] = entry
+	}
+	return routes
+}
+
+// judge tests the counts of each route and of all of them together.
+func judge(counts Counts, target mesh.Release) (reason string) {
+	var all pooled
+	routes := byRoute(counts, target)
+	for _, name := range sortedKeys(routes) {
+		r := routes[name]
+		if fails(r.Target.Responses, r.Target.Failures, tolerable(r.Others.failureRate())) {
+			return fmt.Sprintf("route %s: %d of %d failed, others %.1f%%", name, r.Target.Failures, r.Target.Responses, 100*r.Others.failureRate())
+		}
+		if fails(r.Target.Responses+r.Target.Late, r.Target.Late, tolerable(r.Others.lateRate())) {
+			return fmt.Sprintf("route %s: %d requests late, others %.1f%%", name, r.Target.Late, 100*r.Others.lateRate())
+		}
+		if ratio, slow := slower(r); slow {
+			return fmt.Sprintf("route %s: %d responses %.1f times slower", name, r.Target.Timed, ratio)
+		}
+		all.add(r)
+	}
+	return all.judge()
+}
+
+// tolerable returns the rate of failures or late requests that is tolerated if others have
+// the given rate.
+func tolerable(others float64) float64 {
+	return min(0.95, max(failureFloor, failureFactor*others))
+}
+
+// fails reports whether so many failures are improbable at the tolerable rate. The bound
+// is that of Chernoff.
+func fails(responses, failures uint64, rate float64) bool {
+	if failures < minFailures {
+		return false
+	}
+	n, p := float64(responses), float64(failures)/float64(responses)
+	if p <= rate {
+		return false
+	}
+	divergence := p * math.Log(p/rate)
+	if p < 1 {
+		divergence += (1 - p) * math.Log((1-p)/(1-rate))
+	}
+	return n*divergence >= failureDoubt
+}
+
+// slower reports whether the target is slower by more than slowRatio.
+func slower(r Comparison) (ratio float64, slow bool) {
+	if r.Target.Timed < minTimed || r.Others.Timed < minTimed {
+		return 0, false
+	}
+	target, _ := r.Target.meanLog()
+	others, variance := r.Others.meanLog()
+	return isSlow(target-others, variance, float64(r.Target.Timed), float64(r.Others.Timed))
+}
+
+// isSlow tests the difference of two means of logarithms.
+func isSlow(difference, variance, n, others float64) (ratio float64, slow bool) {
+	deviation := math.Sqrt(max(variance, minLogVariance) * (1/n + 1/others))
+	return math.Exp(difference), difference >= math.Log(slowRatio) && difference >= slowDeviations*deviation
+}
+
+// pooled combines the routes, each compared with the others on the same route. A slow
+// release answers too few requests of each route to tell them apart soon.
+type pooled struct {
+	responses, failures, late uint64
+	// expected and expectedLate are the sums of the tolerable failures and late requests.
+	expected, expectedLate float64
+	// difference is the weighted sum of the differences, and variance that of the
+	// variances.
+	timed, others        uint64
+	difference, variance float64
+}
+
+func (p *pooled) add(r Comparison) {
+	p.responses += r.Target.Responses
+	p.failures += r.Target.Failures
+	p.late += r.Target.Late
+	p.expected += float64(r.Target.Responses) * tolerable(r.Others.failureRate())
+	p.expectedLate += float64(r.Target.Responses+r.Target.Late) * tolerable(r.Others.lateRate())
+	if r.Target.Timed == 0 || r.Others.Timed < minTimed {
+		return
+	}
+	target, _ := r.Target.meanLog()
+	others, variance := r.Others.meanLog()
+	n := float64(r.Target.Timed)
+	p.timed += r.Target.Timed
+	p.others += r.Others.Timed
+	p.difference += n * (target - others)
+	p.variance += n * variance
+}
+
+func (p *pooled) judge() (reason string) {
+	if p.responses > 0 && fails(p.responses, p.failures, p.expected/float64(p.responses)) {
+		return fmt.Sprintf("all routes: %d of %d failed", p.failures, p.responses)
+	}
+	if n := p.responses + p.late; n > 0 && fails(n, p.late, p.expectedLate/float64(n)) {
+		return fmt.Sprintf("all routes: %d requests late", p.late)
+	}
+	if p.timed < minTimed {
+		return ""
+	}
+	n := float64(p.timed)
+	if ratio, slow := isSlow(p.difference/n, p.variance/n, n, float64(p.others)); slow {
+		return fmt.Sprintf("all routes: %d responses %.1f times slower", p.timed, ratio)
+	}
+	return ""
+}
