Read and write rollouts, and record two upstreams of a node

A new version of an upstream starts beside the old one and registers at the same proxy, which knew one upstream only: the later one took its place at once. Records now have a second upstream and the version of both. The store's client replaces the status of an object on condition of its revision.

--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -7,6 +7,7 @@
 
 	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/shift"
 )
 
 // ObjectKind is a kind of objects that proxies read and write in the platform.
@@ -18,6 +19,8 @@
 	VersionObjects ObjectKind = iota
 	// RecordObjects are the records of the nodes.
 	RecordObjects
+	// RolloutObjects are the operator's orders to move a service to another release.
+	RolloutObjects
 )
 
 // ObjectAction is the action of an ObjectCommand or ObjectEvent.
@@ -33,6 +36,8 @@
 	PutRecord
 	// DeleteRecord deletes a record if its version matches.
 	DeleteRecord
+	// PutStatus replaces the status of an order if its version matches.
+	PutStatus
 )
 
 // ObjectCommand requests an action on the platform's objects.
@@ -43,6 +48,9 @@
 	Host mesh.HostID
 	// Node is the record that PutRecord writes.
 	Node fleet.Node
+	// Service is the service whose order PutStatus changes, and Status what it writes.
+	Service mesh.Service
+	Status  shift.Status
 	// Version is the expected version of the object; zero if it must not exist.
 	Version uint64
 	// Revision is the revision up to which the objects are known, from which WatchObjects
@@ -69,7 +77,8 @@
 type ObjectEvent struct {
 	Action ObjectAction
 	Kind   ObjectKind
-	// Command is the command that was executed; set for PutRecord and DeleteRecord.
+	// Command is the command that was executed; set for PutRecord, DeleteRecord and
+	// PutStatus.
 	Command ObjectCommand
 	// Complete is true if Objects contains all objects of the kind.
 	Complete bool
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -16,6 +16,7 @@
 	"arbutusstep.example/arbutusstep/internal/repo"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/store"
+	"arbutusstep.example/arbutusstep/pkg/shift"
 )
 
 const (
@@ -39,6 +40,9 @@
 	// versionWatchDelay is the delay before the next watch after a version arrived. Of
 	// several versions in quick succession, only some are then read and passed on.
 	versionWatchDelay = 300 * time.Millisecond
+	// rolloutWatchDelay is the delay before the next watch after a rollout changed. Its
+	// holder alone writes more than once a second.
+	rolloutWatchDelay = 100 * time.Millisecond
 )
 
 // ObjectStore is the client of the platform's object store.
@@ -47,6 +51,7 @@
 	Watch(ctx context.Context, prefix string, from uint64) ([]store.Event, uint64, error)
 	Create(ctx context.Context, key string, value []byte) (store.Object, error)
 	Update(ctx context.Context, key string, value []byte, version uint64) (store.Object, error)
+	UpdateStatus(ctx context.Context, key string, status []byte, version uint64) (store.Object, error)
 	Delete(ctx context.Context, key string, version uint64) error
 }
 
@@ -58,6 +63,10 @@
 // Kinds holds the names of the object kinds in the platform.
 type Kinds struct {
 	Versions, Records string
+	// Rollouts is empty if the platform has no rollouts.
+	Rollouts string
+	// EncodeStatus encodes the status of a rollout. It may be nil if Rollouts is empty.
+	EncodeStatus func(status shift.Status) ([]byte, error)
 }
 
 // Driver executes the commands of the controllers. It is created by New.
@@ -118,8 +127,12 @@
 }
 
 func (d *Driver) prefix(kind cells.ObjectKind) string {
-	if kind == cells.VersionObjects {
+	switch kind {
+	case cells.VersionObjects:
 		return d.kinds.Versions + "/"
+	case cells.RolloutObjects:
+		return d.kinds.Rollouts + "/"
+	case cells.RecordObjects:
 	}
 	return d.kinds.Records + "/"
 }
@@ -168,11 +181,14 @@
 // one call. A watch of versions without a change is repeated immediately.
 func (d *Driver) delayNextWatch(ctx context.Context, kind cells.ObjectKind, changes int) {
 	wait := recordWatchDelay
-	if kind == cells.VersionObjects {
+	switch {
+	case kind == cells.RecordObjects:
+	case changes == 0:
+		return
+	case kind == cells.VersionObjects:
 		wait = versionWatchDelay
-		if changes == 0 {
-			return
-		}
+	default:
+		wait = rolloutWatchDelay
 	}
 	// The loop condition of the caller checks the context.
 	_ = pause.For(ctx, wait)
@@ -225,7 +241,7 @@
 	case errors.As(err, &conflict) && conflict.HasCurrent:
 		event.Current = newObject(conflict.Current, false)
 	case errors.Is(err, store.ErrNotFound):
-		event.Current = cells.Object{Name: string(command.Host), Version: max(1, command.Version), Deleted: true}
+		event.Current = cells.Object{Name: objectName(command), Version: max(1, command.Version), Deleted: true}
 	}
 	event.Result, event.Err = repo.ClassifyError(err), err
 	d.post(event)
@@ -234,10 +250,13 @@
 func (d *Driver) execute(ctx context.Context, command cells.ObjectCommand) (current cells.Object, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("write record of %s: %w", command.Host, err)
+			err = fmt.Errorf("write %s: %w", objectName(command), err)
 		}
 	}()
-	key := d.prefix(command.Kind) + string(command.Host)
+	key := d.prefix(command.Kind) + objectName(command)
+	if command.Action == cells.PutStatus {
+		return d.putStatus(ctx, key, command)
+	}
 	if command.Action == cells.DeleteRecord {
 		if err = d.store.Delete(ctx, key, command.Version); err != nil {
 			return current, err
@@ -259,3 +278,24 @@
 	}
 	return newObject(written, false), nil
 }
+
+// putStatus replaces the status of a rollout.
+func (d *Driver) putStatus(ctx context.Context, key string, command cells.ObjectCommand) (current cells.Object, err error) {
+	status, err := d.kinds.EncodeStatus(command.Status)
+	if err != nil {
+		return current, err
+	}
+	written, err := d.store.UpdateStatus(store.WithUrgency(ctx), key, status, command.Version)
+	if err != nil {
+		return current, err
+	}
+	return newObject(written, false), nil
+}
+
+// objectName returns the name of the object that a command changes.
+func objectName(command cells.ObjectCommand) string {
+	if command.Action == cells.PutStatus {
+		return string(command.Service)
+	}
+	return string(command.Host)
+}
--- a/internal/depot/driver_test.go
+++ b/internal/depot/driver_test.go
@@ -75,6 +75,11 @@
 	return store.Object{Key: key, Version: 9}, s.writeError
 }
 
+func (s *scriptedStore) UpdateStatus(_ context.Context, key string, _ []byte, version uint64) (store.Object, error) {
+	s.recordCall("update status of %s at %d", key, version)
+	return store.Object{Key: key, Version: 9}, s.writeError
+}
+
 func (s *scriptedStore) Update(_ context.Context, key string, _ []byte, version uint64) (store.Object, error) {
 	s.recordCall("update %s at %d", key, version)
 	return store.Object{Key: key, Version: 9}, s.writeError
--- a/internal/sheet/node.go
+++ b/internal/sheet/node.go
@@ -21,6 +21,7 @@
 	LinkRate    int64          `json:"linkBytesPerSecond,omitempty"`
 	Leaving     bool           `json:"leaving,omitempty"`
 	Upstream    *upstreamJSON  `json:"upstream,omitempty"`
+	Beside      *upstreamJSON  `json:"beside,omitempty"`
 }
 
 // upstreamJSON is the JSON form of a node's local upstream.
@@ -29,6 +30,7 @@
 	StartedAt     int64          `json:"bornMilliseconds,omitempty"`
 	Sequence      uint64         `json:"sequence"`
 	Service       mesh.Service   `json:"service"`
+	Release       mesh.Release   `json:"release,omitempty"`
 	Address       netip.AddrPort `json:"address"`
 	State         string         `json:"state"`
 	Slots         int            `json:"slots"`
@@ -43,15 +45,21 @@
 	if n.PlatformRTT > 0 {
 		body.PlatformRTT = n.PlatformRTT.Round(fleet.MinPlatformRTT).String()
 	}
-	if u := n.Upstream; u.Instance != "" {
-		body.Upstream = &upstreamJSON{
-			Instance: u.Instance, StartedAt: unixMilli(u.StartedAt), Sequence: u.Sequence, Service: u.Service,
-			Address: u.Address, State: u.State.String(), Slots: u.Slots, ColdRemaining: u.ColdRemaining.Milliseconds(),
-		}
-	}
+	body.Upstream, body.Beside = encodeUpstream(n.Upstream), encodeUpstream(n.Beside)
 	return json.Marshal(body)
 }
 
+// encodeUpstream returns nil if there is no upstream.
+func encodeUpstream(u fleet.Upstream) *upstreamJSON {
+	if u.Instance == "" {
+		return nil
+	}
+	return &upstreamJSON{
+		Instance: u.Instance, StartedAt: unixMilli(u.StartedAt), Sequence: u.Sequence, Service: u.Service, Release: u.Release,
+		Address: u.Address, State: u.State.String(), Slots: u.Slots, ColdRemaining: u.ColdRemaining.Milliseconds(),
+	}
+}
+
 // DecodeNode decodes a node's record.
 func DecodeNode(data []byte) (n fleet.Node, err error) {
 	defer func() {
@@ -84,7 +92,12 @@
 		}
 	}
 	if body.Upstream != nil {
-		n.Upstream, err = body.Upstream.decode()
+		if n.Upstream, err = body.Upstream.decode(); err != nil {
+			return n, err
+		}
+	}
+	if body.Beside != nil {
+		n.Beside, err = body.Beside.decode()
 	}
 	return n, err
 }
@@ -105,7 +118,7 @@
 		return upstream, fmt.Errorf("cold for %d ms, want 0 to %d", u.ColdRemaining, fleet.MaxColdTime.Milliseconds())
 	}
 	return fleet.Upstream{
-		Instance: u.Instance, StartedAt: timeFromUnixMilli(u.StartedAt), Sequence: u.Sequence, Service: u.Service,
+		Instance: u.Instance, StartedAt: timeFromUnixMilli(u.StartedAt), Sequence: u.Sequence, Service: u.Service, Release: u.Release,
 		Address: u.Address, State: state, Slots: u.Slots, ColdRemaining: time.Duration(u.ColdRemaining) * time.Millisecond,
 	}, nil
 }
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -80,6 +80,20 @@
 	return c.doObject(ctx, key, req)
 }
 
+// UpdateStatus replaces the object's status. It fails with ErrConflict unless the object
+// has the given version.
+func (c *Client) UpdateStatus(ctx context.Context, key string, status []byte, version uint64) (updated Object, err error) {
+	defer annotate(&err, "update status of", key)
+	if err = validateWrite(key, status); err != nil {
+		return updated, err
+	}
+	req, err := c.options.Codec.UpdateStatus(key, status, version)
+	if err != nil {
+		return updated, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return c.doObject(ctx, key, req)
+}
+
 // Delete removes the object. It fails with ErrConflict unless the object has
 // the given version.
 func (c *Client) Delete(ctx context.Context, key string, version uint64) (err error) {
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -45,6 +45,9 @@
 	List(prefix, after string) Request
 	Create(key string, value []byte) (Request, error)
 	Update(key string, value []byte, version uint64) (Request, error)
+	// UpdateStatus replaces only the status of an object that consists of a spec and a
+	// status.
+	UpdateStatus(key string, status []byte, version uint64) (Request, error)
 	Delete(key string, version uint64) Request
 	Watch(prefix string, from uint64, wait time.Duration) Request
 
--- a/internal/store/keyvalue.go
+++ b/internal/store/keyvalue.go
@@ -60,6 +60,11 @@
 	return Request{Method: http.MethodPut, Path: objectPath(key), Body: body}, err
 }
 
+// UpdateStatus implements Codec. Objects of this API have no status.
+func (KeyValueCodec) UpdateStatus(key string, _ []byte, _ uint64) (req Request, err error) {
+	return req, fmt.Errorf("object %q has no status", key)
+}
+
 // Delete implements Codec.
 func (KeyValueCodec) Delete(key string, version uint64) Request {
 	query := url.Values{"version": {strconv.FormatUint(version, 10)}}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -46,6 +46,9 @@
 	Leaving bool
 	// Upstream has an empty Instance while there is no upstream.
 	Upstream Upstream
+	// Beside is a second upstream of the node, of another release. It has an empty Instance
+	// if there is none.
+	Beside Upstream
 }
 
 // Upstream describes one instance of the server next to a node, from its start to
@@ -59,8 +62,10 @@
 	// Sequence is the sequence number of the last accepted report.
 	Sequence uint64
 	Service  mesh.Service
-	Address  netip.AddrPort
-	State    member.State
+	// Release is the version of the upstream's software; empty if it did not report one.
+	Release mesh.Release
+	Address netip.AddrPort
+	State   member.State
 	// Slots is the number of requests that it processes concurrently; not negative.
 	Slots int
 	// ColdRemaining is how much longer the upstream expected to be slow after its start,
@@ -73,6 +78,16 @@
 	return !n.Leaving && n.Upstream.Instance != "" && n.Upstream.State.AcceptsRequests()
 }
 
+// Serving lists the upstreams of the node to which other nodes may send new requests.
+func (n *Node) Serving() (upstreams []Upstream) {
+	for _, u := range []Upstream{n.Upstream, n.Beside} {
+		if !n.Leaving && u.Instance != "" && u.State.AcceptsRequests() {
+			upstreams = append(upstreams, u)
+		}
+	}
+	return upstreams
+}
+
 // maxRTTSpread is the maximum difference of the RTT to the platform between two
 // nodes in its region. Nodes in other regions are further away.
 const maxRTTSpread = 15 * time.Millisecond
--- a/pkg/fleet/tree.go
+++ b/pkg/fleet/tree.go
@@ -114,6 +114,11 @@
 	return isReader && depth == 0
 }
 
+// RootRank returns the rank of a root among the roots, from zero; -1 if the host is none.
+func (t *Tree) RootRank(host mesh.HostID) int {
+	return slices.IndexFunc(t.roots, func(n Node) bool { return n.Host == host })
+}
+
 // IsReader reports whether other nodes may receive from the host.
 func (t *Tree) IsReader(host mesh.HostID) bool {
 	_, isReader := t.depths[host]
--- a/pkg/shift/agent.go
+++ b/pkg/shift/agent.go
@@ -26,22 +26,24 @@
 	own     Evidence
 }
 
-// Learn takes a view that was received now. changed is true if it differs from what was
+// Learn takes a view that a root confirmed at the given time. changed is true if it differs from what was
 // in force. A view with a lower term is older and is ignored. A halted trial stays halted
 // until another order or the status says otherwise.
-func (a *Agent) Learn(now time.Time, view View) (changed bool) {
+func (a *Agent) Learn(confirmedAt time.Time, view View) (changed bool) {
 	e := a.entries[view.Service]
 	if e == nil {
 		if a.entries == nil {
 			a.entries = make(map[mesh.Service]*entry)
 		}
-		a.entries[view.Service] = &entry{view: view, heardAt: now}
+		a.entries[view.Service] = &entry{view: view, heardAt: confirmedAt}
 		return true
 	}
 	if view.Status.Term < e.view.Status.Term {
 		return false
 	}
-	e.heardAt = now
+	if confirmedAt.After(e.heardAt) {
+		e.heardAt = confirmedAt
+	}
 	sameTrial := view.Status.Target == e.view.Status.Target && view.Status.Since == e.view.Status.Since && !e.view.Status.Phase.Final()
 	if !sameTrial {
 		e.own = Evidence{}
@@ -98,7 +100,7 @@
 // Running reports whether any order is running.
 func (a *Agent) Running() bool {
 	for _, e := range a.entries {
-		if !e.view.Status.Phase.Final() {
+		if e.view.Status.Phase == Running {
 			return true
 		}
 	}
--- a/pkg/shift/director.go
+++ b/pkg/shift/director.go
@@ -89,20 +89,29 @@
 	evidence Evidence
 	// verdict is why the target is bad; empty if it is not.
 	verdict string
-	// final is the last known final status; its Phase is Pending if there is none. A
-	// store that was restored from an older copy may have lost it.
-	final Status
+	// stale is true if the store has an older status than the one in force, or one that
+	// somebody else wrote. It is then written again.
+	stale bool
 	// withdrawn is true once the object was deleted.
 	withdrawn bool
 }
 
-// Learn takes the object as read from the store.
+// Learn takes the object as read from the store. A status with a lower term than the one
+// in force does not replace it: the store was restored from an older copy, or somebody else
+// wrote it.
 func (d *Director) Learn(now time.Time, object Object) {
+	if object.Revision < d.object.Revision {
+		return
+	}
 	isNew := object.Order.Target != d.object.Order.Target || d.withdrawn
 	if object.Status.Target != object.Order.Target {
 		// The status is about another order: only the excluded releases remain.
 		object.Status = Status{Target: object.Order.Target, Term: object.Status.Term + 1, Excluded: excludedAfter(object)}
 	}
+	d.stale = !isNew && object.Status.Term < d.object.Status.Term
+	if d.stale {
+		object.Status = d.object.Status
+	}
 	d.term = max(d.term, object.Status.Term)
 	if isNew {
 		d.term++
@@ -123,9 +132,6 @@
 	if object.Status.Share != d.object.Status.Share || isNew {
 		d.stageAt = now
 	}
-	if object.Status.Phase.Final() {
-		d.final = object.Status
-	}
 	d.object = object
 }
 
@@ -142,7 +148,27 @@
 
 // Withdraw takes the deletion of the object by its operator.
 func (d *Director) Withdraw() {
-	d.withdrawn, d.final = true, Status{}
+	if !d.withdrawn {
+		d.withdrawn = true
+		d.term++
+	}
+}
+
+// Forget discards the revision of the object, before all objects are read again. The
+// object may not be among them if the store was restored from an older copy; what is in
+// force then stays, except that a trial stops.
+func (d *Director) Forget() {
+	d.object.Revision = 0
+}
+
+// IsHolder reports whether this root holds the lease.
+func (d *Director) IsHolder() bool {
+	return d.object.Status.Holder == d.Host
+}
+
+// Order returns the order.
+func (d *Director) Order() Order {
+	return d.object.Order
 }
 
 // Observe takes the outcomes that were received since the last time.
@@ -158,9 +184,9 @@
 
 // View returns the state to pass down.
 func (d *Director) View() View {
-	v := View{Service: d.object.Order.Service, Status: d.object.Status, Halted: d.verdict != "" || d.withdrawn}
-	if d.isLost() {
-		v.Status = d.final
+	v := View{Service: d.object.Order.Service, Status: d.object.Status, Halted: d.verdict != "" || d.object.Revision == 0}
+	if d.withdrawn && !v.Status.Phase.Final() {
+		rollBack(&v.Status, "withdrawn")
 	}
 	v.Status.Term = d.term
 	if v.Status.Phase.Final() {
@@ -169,32 +195,23 @@
 	return v
 }
 
-// isLost reports whether the store has lost the final status.
-func (d *Director) isLost() bool {
-	return d.final.Phase.Final() && d.final.Target == d.object.Order.Target && !d.object.Status.Phase.Final()
-}
-
 // Next returns the status to write, fenced by the revision of the object; write is false
 // if there is none. unixTime makes terms increase if all that is known was lost.
 func (d *Director) Next(now, unixTime time.Time, upstreams Upstreams) (next Status, write bool) {
 	current := d.object.Status
-	if d.withdrawn || current.Phase.Final() || d.object.Revision == 0 {
-		return next, false
-	}
-	if !d.mayWrite(now) {
+	isFinal := current.Phase.Final()
+	if d.withdrawn || isFinal && !d.stale || d.object.Revision == 0 || !d.mayWrite(now) {
 		return next, false
 	}
 	next = current
-	if d.isLost() {
-		next = d.final
-	} else {
+	if !isFinal {
 		d.decide(now, &next, upstreams)
 	}
 	next.Holder, next.Target = d.Host, d.object.Order.Target
 	next.Elapsed = now.Sub(d.orderedAt)
 	next.Term = max(d.term+1, uint64(max(0, unixTime.UnixMilli())))
 	unchanged := next.Phase == current.Phase && next.Share == current.Share && next.Holder == current.Holder && slices.Equal(next.Canaries, current.Canaries)
-	if unchanged && now.Sub(d.revisedAt) < renewInterval {
+	if unchanged && !d.stale && now.Sub(d.revisedAt) < renewInterval {
 		return next, false
 	}
 	return next, true
--- a/pkg/shift/fleet_test.go
+++ b/pkg/shift/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -334,6 +335,7 @@
 		return
 	}
 	if revision == s.object.Revision && !s.deleted {
+		next.RouteShares = maps.Clone(next.RouteShares)
 		s.object.Revision++
 		s.object.Status = next
 		if next.Phase.Final() {
--- a/pkg/shift/shift.go
+++ b/pkg/shift/shift.go
@@ -97,7 +97,7 @@
 	Service mesh.Service
 	Status  Status
 	// Halted is true once the release was found to be bad, even if that is not in the
-	// store yet, or if the order was withdrawn.
+	// store yet, or if the object cannot be found there.
 	Halted bool
 }
 
--- a/pkg/shift/shift_test.go
+++ b/pkg/shift/shift_test.go
@@ -170,9 +170,11 @@
 
 // loseFinal restores an older copy of the status after the end of the order.
 func loseFinal(s *simulation) {
+	older := shift.Status{}
+	s.after(4*time.Second, func() { older = s.object.Status })
 	s.after(10*time.Second, func() {
 		s.object.Revision++
-		s.object.Status.Phase, s.object.Status.Holder = shift.Running, "root0"
+		s.object.Status = older
 		s.notify()
 	})
 }
