--- a/internal/ctlmsg/ctlmsg.go
+++ b/internal/ctlmsg/ctlmsg.go
@@ -10,6 +10,7 @@
 	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/relay"
+	"arbutusstep.example/arbutusstep/pkg/shift"
 	"arbutusstep.example/arbutusstep/pkg/tree"
 )
 
@@ -205,6 +206,20 @@
 	Record []byte
 }
 
+// ShiftState is the state of the orders to move services to other releases. A reader sends
+// it to its subscribers when it changes, and regularly while an order runs.
+type ShiftState struct {
+	Views []shift.View
+	// Age is the time since a root confirmed the state. It includes the times that the
+	// readers before the sender reported.
+	Age time.Duration
+}
+
+// ShiftCounts adds to the outcomes of requests. It is sent to parents while orders run.
+type ShiftCounts struct {
+	Counts map[mesh.Service]shift.Counts
+}
+
 func (Hello) message()             {}
 func (Heartbeat) message()         {}
 func (ConfigRequest) message()     {}
@@ -219,3 +234,5 @@
 func (Document) message()          {}
 func (Roster) message()            {}
 func (Probe) message()             {}
+func (ShiftState) message()        {}
+func (ShiftCounts) message()       {}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -51,6 +51,10 @@
 		}}}
 	case ctlmsg.Roster:
 		return &Control{Body: &Control_Roster{Roster: encodeRoster(m)}}
+	case ctlmsg.ShiftState:
+		return &Control{Body: &Control_Shift{Shift: encodeShiftState(m)}}
+	case ctlmsg.ShiftCounts:
+		return &Control{Body: &Control_ShiftCounts{ShiftCounts: encodeShiftCounts(m)}}
 	default:
 		panic(fmt.Sprintf("wire: no encoding for %T", message))
 	}
@@ -101,6 +105,10 @@
 		}, nil
 	case *Control_Roster:
 		return decodeRoster(b.Roster)
+	case *Control_Shift:
+		return decodeShiftState(b.Shift)
+	case *Control_ShiftCounts:
+		return decodeShiftCounts(b.ShiftCounts)
 	default:
 		return nil, fmt.Errorf("unknown message type")
 	}
