Direct rollouts from the roots of the tree of readers

The roots watch the orders, and one of them decides under a lease in the status of the order. Calls name the version that they are for, and each upstream of a host has its own gate.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -26,6 +26,8 @@
 	// UnreachableInstances receives the instances of upstreams to which connections
 	// failed.
 	UnreachableInstances board.Inbox[string]
+	// Outcomes receives the outcomes of requests after CollectOutcomes.
+	Outcomes board.Inbox[OutcomeCounts]
 	// LifecycleCommands receives requests to drain or withdraw.
 	LifecycleCommands board.Inbox[LifecycleCommand]
 
@@ -42,17 +44,26 @@
 	// MetricsTicks triggers the collection of the traffic threads' counters once a
 	// second.
 	MetricsTicks board.Outbox[time.Time]
+	// CollectOutcomes collects the outcomes of requests that the traffic threads counted.
+	CollectOutcomes board.Outbox[time.Time]
 	// LogEvents sends state changes to the log.
 	LogEvents board.Outbox[LogEvent]
 
 	// Self is set before the board runs and does not change afterwards.
 	Self board.Cell[ProxySelf]
+	// RolloutViews is the state of the orders if this proxy is a root.
+	RolloutViews board.Cell[RolloutViews]
+	// Rollouts holds the orders that are in force on this proxy.
+	Rollouts board.Cell[Rollouts]
 	// Phase is the current phase of the proxy's life cycle.
 	Phase board.Cell[Phase]
 	// Peers contains the open control links.
 	Peers board.State[Peers]
 	// LocalUpstream is the state of the upstream on the proxy's host.
 	LocalUpstream board.Cell[LocalUpstream]
+	// BesideUpstream is the state of a second upstream on the host, of another release; its
+	// Instance is empty if there is none.
+	BesideUpstream board.Cell[LocalUpstream]
 	// StoredRecord is this proxy's record as stored in the platform.
 	StoredRecord board.Cell[StoredRecord]
 	// Roster contains the records of all nodes.
@@ -92,6 +103,8 @@
 	Revocation time.Duration
 	// EnforceQuotas is true if the quotas of client accounts are enforced.
 	EnforceQuotas bool
+	// DirectRollouts is true if this proxy decides about orders while it is a root.
+	DirectRollouts bool
 }
 
 // TokenSource tells where a proxy gets quota tokens. The zero TokenSource means nowhere.
@@ -126,6 +139,8 @@
 
 // HealthResult is the result of a HealthCheck.
 type HealthResult struct {
+	// Address is the address that was checked.
+	Address netip.AddrPort
 	// Instance is the instance that answered that it serves; empty if none did.
 	Instance string
 	// Reason is the reason if Instance is empty.
@@ -221,12 +236,21 @@
 	Plan *plan.Plan
 	// CandidateSets contains the upstreams of each service that accept requests.
 	CandidateSets map[mesh.Service]*pick.CandidateSet
+	// Trials contains the services of which a part of the requests goes to upstreams of
+	// another release, which are not in CandidateSets.
+	Trials map[mesh.Service]ServiceTrial
+	// CountOutcomes contains the services whose outcomes are counted by release.
+	CountOutcomes map[mesh.Service]bool
 	// LocalUpstream is the upstream on the proxy's host; its Instance is empty if
 	// there is none.
 	LocalUpstream fleet.Upstream
 	// AdmitUntil is the time after which no more requests may be sent to
 	// LocalUpstream; zero for no limit.
 	AdmitUntil time.Time
+	// BesideUpstream and BesideAdmitUntil are the same for a second upstream of another
+	// release.
+	BesideUpstream   fleet.Upstream
+	BesideAdmitUntil time.Time
 	// NodeCount is the number of nodes that share budgets, including this one.
 	NodeCount int
 	// ServiceShare is the fraction of the upstreams in CandidateSets that serve the
--- a/internal/cmds/proxy.go
+++ b/internal/cmds/proxy.go
@@ -72,6 +72,7 @@
 func newPlatform() proxy.Platform {
 	return proxy.Platform{
 		Objects: platform.ObjectCodec{}, VersionKind: platform.ConfigKind, RecordKind: platform.NodeKind,
+		Rollouts:   proxy.Rollouts{Kind: platform.RolloutKind, EncodeStatus: platform.EncodeRolloutStatus, Decode: platform.DecodeRollout},
 		DecodePlan: platform.DecodePlan, RedactPlan: platform.RedactConfig, Headers: platform.HeaderCodec{}, Registrations: platform.RegistrationCodec{},
 	}
 }
--- a/internal/ctrl/proxy.go
+++ b/internal/ctrl/proxy.go
@@ -8,6 +8,7 @@
 	"arbutusstep.example/arbutusstep/pkg/board"
 	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/shift"
 )
 
 // Codec encodes and decodes documents and records. It keeps no state.
@@ -17,6 +18,9 @@
 	DecodePlan(data []byte) (*plan.Plan, error)
 	// DecodeNode decodes the record of a node.
 	DecodeNode(data []byte) (fleet.Node, error)
+	// DecodeRollout decodes an order and its status. statusErr means that only the status
+	// could not be decoded.
+	DecodeRollout(name string, data []byte) (object shift.Object, statusErr, err error)
 	// Compress compresses data with base as the dictionary; nil for no dictionary.
 	Compress(data, base []byte) ([]byte, error)
 	// Decompress reverses Compress with the same base.
@@ -35,6 +39,8 @@
 		newSourceSelector(proxy),
 		newVersionApplier(proxy, codec),
 		newPublisher(proxy, codec),
+		newRolloutDirector(proxy, codec, source),
+		newRolloutAgent(proxy),
 		newSweeper(proxy),
 		newProxyLifecycle(proxy),
 		newProxySnapshotBuilder(proxy),
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -21,6 +21,7 @@
 	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/shift"
 )
 
 // simStep is the interval at which the boards of the simulated proxies run.
@@ -58,6 +59,24 @@
 	return node.(fleet.Node), nil
 }
 
+// DecodeRollout decodes an order for orders, which consists of the target.
+func (testCodec) DecodeRollout(name string, data []byte) (object shift.Object, statusErr, err error) {
+	stored, found := testRollouts.Load(string(data))
+	if !found {
+		return object, nil, errors.New("unreadable")
+	}
+	return stored.(shift.Object), nil, nil
+}
+
+// testRollouts contains the written orders by their encoding.
+var testRollouts sync.Map
+
+func encodeRollout(o shift.Object) []byte {
+	key := fmt.Sprintf("%+v", o)
+	testRollouts.Store(key, o)
+	return []byte(key)
+}
+
 func (testCodec) Compress(data, _ []byte) ([]byte, error)         { return data, nil }
 func (testCodec) Decompress(compressed, _ []byte) ([]byte, error) { return compressed, nil }
 
--- a/internal/ctrl/proxyupstream.go
+++ b/internal/ctrl/proxyupstream.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"net/netip"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
@@ -26,27 +27,35 @@
 	healthCheckInterval = 200 * time.Millisecond
 )
 
-// proxyUpstream tracks the state of the local upstream and acknowledges its reports.
+// proxyUpstream tracks the state of the local upstreams and acknowledges their reports.
 // The acknowledgement of a report that the upstream drains or leaves waits until that
 // is stored in the platform, so that the proxy knows of it after a restart.
 type proxyUpstream struct {
 	*cells.Proxy
-	alarm   board.Alarm
-	tracker fleet.UpstreamTracker
+	alarm board.Alarm
+	pair  fleet.UpstreamPair
 	// restored is true once the record of an earlier process was restored.
 	restored bool
 	// pendingAcks are the acknowledgements that wait for the record, in order.
 	pendingAcks []pendingAck
-	// checking is true while a health check is in progress. checkCount is the number of
-	// health checks so far, and nextCheck the earliest time of the next one.
-	checking   bool
-	checkCount int
-	nextCheck  time.Time
+	checks      [2]healthChecks
+}
+
+// healthChecks is the state of the health checks of one upstream.
+type healthChecks struct {
+	// checking is true while a health check of address is in progress. count is the number
+	// of health checks so far, and next the earliest time of the next one.
+	checking bool
+	address  netip.AddrPort
+	count    int
+	next     time.Time
 }
 
 // pendingAck is the delayed acknowledgement of a report.
 type pendingAck struct {
-	id       uint64
+	id uint64
+	// place is the place of the upstream, 0 or 1.
+	place    int
 	result   fleet.ReportResult
 	deadline time.Time
 }
@@ -57,30 +66,38 @@
 		Name:   "proxyUpstream",
 		Reads:  []board.Ref{&proxy.UpstreamReports, &proxy.UnreachableInstances, &proxy.StoredRecord, &proxy.HealthResults, &proxy.ActiveVersion, &u.alarm},
 		Uses:   []board.Ref{&proxy.Self},
-		Writes: []board.Ref{&proxy.LocalUpstream, &proxy.ReportAcks, &proxy.HealthChecks, &proxy.LogEvents, &u.alarm},
+		Writes: []board.Ref{&proxy.LocalUpstream, &proxy.BesideUpstream, &proxy.ReportAcks, &proxy.HealthChecks, &proxy.LogEvents, &u.alarm},
 		Step:   u.step,
 	}
 }
 
 func (u *proxyUpstream) step(now time.Time) {
-	u.tracker.ProcessStart = u.Self.Get().StartedAt
+	for i := range u.pair.Trackers {
+		u.pair.Trackers[i].ProcessStart = u.Self.Get().StartedAt
+	}
 	u.restore()
 	for _, r := range u.UpstreamReports.Events() {
 		u.handleReport(r, now)
 	}
 	for _, instance := range u.UnreachableInstances.Events() {
-		if instance == u.tracker.Upstream().Instance {
-			u.tracker.MarkUnreachable()
+		for i := range u.pair.Trackers {
+			if instance == u.pair.Trackers[i].Upstream().Instance {
+				u.pair.Trackers[i].MarkUnreachable()
+			}
 		}
 	}
-	u.checkHealth(now)
+	u.handleHealthResults(now)
 	timeout := maxMissedReports * u.Self.Get().Heartbeat
-	u.tracker.Expire(now, timeout)
-	u.publish(now)
-	u.acknowledge(now)
-	if expiry := u.tracker.ExpiresAt(timeout); !expiry.IsZero() {
-		u.alarm.SetIfEarlier(expiry)
+	for i := range u.pair.Trackers {
+		u.checkHealth(i, now)
+		u.pair.Trackers[i].Expire(now, timeout)
+		if expiry := u.pair.Trackers[i].ExpiresAt(timeout); !expiry.IsZero() {
+			u.alarm.SetIfEarlier(expiry)
+		}
 	}
+	u.publish(&u.LocalUpstream, 0, now)
+	u.publish(&u.BesideUpstream, 1, now)
+	u.acknowledge(now)
 }
 
 // restore restores, once, the state that an earlier process of this proxy stored.
@@ -90,40 +107,52 @@
 		return
 	}
 	u.restored = true
-	u.tracker.Restore(recorded.Node.Upstream)
+	u.pair.Restore(recorded.Node.Upstream, recorded.Node.Beside)
 }
 
-// checkHealth sends health checks to an unconfirmed upstream, so that it receives
-// requests again before its next report.
-func (u *proxyUpstream) checkHealth(now time.Time) {
+// handleHealthResults takes the results of health checks. A result without an address is
+// about the first check in progress.
+func (u *proxyUpstream) handleHealthResults(now time.Time) {
 	for _, result := range u.HealthResults.Events() {
-		u.checking, u.nextCheck = false, now.Add(healthCheckInterval)
-		confirmed := u.tracker.Confirm(now, result.Instance)
+		place := 0
+		if c := u.checks[1]; c.checking && (c.address == result.Address || !u.checks[0].checking) {
+			place = 1
+		}
+		c, tracker := &u.checks[place], &u.pair.Trackers[place]
+		c.checking, c.next = false, now.Add(healthCheckInterval)
+		confirmed := tracker.Confirm(now, result.Instance)
 		u.LogEvents.Send(cells.LogEvent{Name: "upstreamChecked", Fields: []cells.LogField{
-			{Name: "instance", Value: u.tracker.Upstream().Instance},
+			{Name: "instance", Value: tracker.Upstream().Instance},
 			{Name: "found", Value: confirmed},
 			{Name: "answered", Value: result.Instance},
 			{Name: "reason", Value: result.Reason},
-			{Name: "checks", Value: u.checkCount},
+			{Name: "checks", Value: c.count},
 		}})
 	}
-	upstream, unconfirmed := u.tracker.Unconfirmed()
+}
+
+// checkHealth sends health checks to an unconfirmed upstream, so that it receives
+// requests again before its next report.
+func (u *proxyUpstream) checkHealth(place int, now time.Time) {
+	c := &u.checks[place]
+	upstream, unconfirmed := u.pair.Trackers[place].Unconfirmed()
 	service, _ := u.ActiveVersion.Get().Plan.Service(upstream.Service)
-	if !unconfirmed || u.checking || u.checkCount == maxHealthChecks || service.HealthPath == "" {
+	if !unconfirmed || c.checking || c.count == maxHealthChecks || service.HealthPath == "" {
 		return
 	}
-	if now.Before(u.nextCheck) {
-		u.alarm.SetIfEarlier(u.nextCheck)
+	if now.Before(c.next) {
+		u.alarm.SetIfEarlier(c.next)
 		return
 	}
-	u.checking = true
-	u.checkCount++
+	c.checking, c.address = true, upstream.Address
+	c.count++
 	u.HealthChecks.Send(cells.HealthCheck{Address: upstream.Address, Path: service.HealthPath})
 }
 
 func (u *proxyUpstream) handleReport(r cells.PendingReport, now time.Time) {
-	result := u.tracker.HandleReport(now, r.Report)
-	upstream := u.tracker.Upstream()
+	place := u.pair.Place(r.Report)
+	result := u.pair.Trackers[place].HandleReport(now, r.Report)
+	upstream := u.pair.Trackers[place].Upstream()
 	if result != fleet.Renewed {
 		u.LogEvents.Send(cells.LogEvent{Name: "upstreamWord", Fields: []cells.LogField{
 			{Name: "verdict", Value: result.String()},
@@ -136,13 +165,14 @@
 			{Name: "knownSequence", Value: upstream.Sequence},
 			{Name: "state", Value: upstream.State.String()},
 			{Name: "service", Value: string(upstream.Service)},
+			{Name: "release", Value: string(upstream.Release)},
 		}})
 	}
 	if result == fleet.Stale || !isLeaving(upstream.State) {
 		u.ReportAcks.Send(cells.ReportAck{ID: r.ID, Result: result, Recorded: true})
 		return
 	}
-	u.pendingAcks = append(u.pendingAcks, pendingAck{id: r.ID, result: result, deadline: now.Add(recordTimeout)})
+	u.pendingAcks = append(u.pendingAcks, pendingAck{id: r.ID, place: place, result: result, deadline: now.Add(recordTimeout)})
 }
 
 // isLeaving reports whether an upstream in the state accepts no new requests for the
@@ -151,10 +181,11 @@
 	return state == member.Draining || state == member.Left
 }
 
-// publish updates the cell LocalUpstream.
-func (u *proxyUpstream) publish(now time.Time) {
-	_, unconfirmed := u.tracker.Unconfirmed()
-	old, next := u.LocalUpstream.Get(), cells.LocalUpstream{Upstream: u.tracker.Upstream(), Unconfirmed: unconfirmed && (u.checking || u.checkCount < maxHealthChecks)}
+// publish updates the cell of an upstream.
+func (u *proxyUpstream) publish(cell *board.Cell[cells.LocalUpstream], place int, now time.Time) {
+	tracker, c := &u.pair.Trackers[place], u.checks[place]
+	_, unconfirmed := tracker.Unconfirmed()
+	old, next := cell.Get(), cells.LocalUpstream{Upstream: tracker.Upstream(), Unconfirmed: unconfirmed && (c.checking || c.count < maxHealthChecks)}
 	if isLeaving(next.State) {
 		next.AdmitUntil = old.AdmitUntil
 		if next.AdmitUntil.IsZero() || old.Instance != next.Instance || !old.StartedAt.Equal(next.StartedAt) {
@@ -162,17 +193,18 @@
 		}
 	}
 	if next != old {
-		u.LocalUpstream.Set(next)
+		cell.Set(next)
 	}
 }
 
 // acknowledge acknowledges the reports whose state is stored or whose deadline has
 // passed.
 func (u *proxyUpstream) acknowledge(now time.Time) {
-	recorded, upstream := u.StoredRecord.Get().Node.Upstream, u.tracker.Upstream()
-	isRecorded := recorded.Instance == upstream.Instance && recorded.StartedAt.Equal(upstream.StartedAt) && recorded.State == upstream.State
+	node := u.StoredRecord.Get().Node
 	remaining := u.pendingAcks[:0]
 	for _, p := range u.pendingAcks {
+		recorded, upstream := [2]fleet.Upstream{node.Upstream, node.Beside}[p.place], u.pair.Trackers[p.place].Upstream()
+		isRecorded := recorded.Instance == upstream.Instance && recorded.StartedAt.Equal(upstream.StartedAt) && recorded.State == upstream.State
 		if !isRecorded && now.Before(p.deadline) {
 			remaining = append(remaining, p)
 			u.alarm.SetIfEarlier(p.deadline)
--- a/internal/ctrl/recordwriter.go
+++ b/internal/ctrl/recordwriter.go
@@ -40,7 +40,7 @@
 	w := &recordWriter{Proxy: proxy, backoff: relay.Backoff{Initial: minWriteBackoff, Max: maxWriteBackoff, Source: source}}
 	return board.Controller{
 		Name:   "recordWriter",
-		Reads:  []board.Ref{&proxy.ObjectEvents, &proxy.Roster, &proxy.LocalUpstream, &proxy.Phase, &proxy.PlatformStatus, &w.alarm},
+		Reads:  []board.Ref{&proxy.ObjectEvents, &proxy.Roster, &proxy.LocalUpstream, &proxy.BesideUpstream, &proxy.Phase, &proxy.PlatformStatus, &w.alarm},
 		Uses:   []board.Ref{&proxy.Self},
 		Writes: []board.Ref{&proxy.StoredRecord, &proxy.ObjectCommands, &w.alarm},
 		Step:   w.step,
@@ -87,7 +87,7 @@
 		return
 	}
 	earliest := w.retryAt
-	if upstream := w.LocalUpstream.Get(); found && (upstream.Instance == "" || upstream.Unconfirmed) && !desired.Leaving {
+	if found && (w.isUnknown(w.LocalUpstream.Get(), entry.Node.Upstream, true) || w.isUnknown(w.BesideUpstream.Get(), entry.Node.Beside, false)) && !desired.Leaving {
 		earliest = latest(earliest, w.Self.Get().StartedAt.Add(firstReportTimeout))
 	}
 	if now.Before(earliest) {
@@ -104,6 +104,12 @@
 	})
 }
 
+// isUnknown reports whether an upstream has not reported to this process yet. A node always
+// has a first upstream; others have one if it is recorded.
+func (w *recordWriter) isUnknown(upstream cells.LocalUpstream, recorded fleet.Upstream, always bool) bool {
+	return upstream.Unconfirmed || upstream.Instance == "" && (always || recorded.Instance != "")
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -116,7 +122,7 @@
 	self := w.Self.Get()
 	return fleet.Node{
 		Host: self.Host, Place: self.Place, Address: self.Address, PlatformRTT: w.PlatformStatus.Get().RTT, LinkRate: self.LinkRate,
-		Leaving: w.Phase.Get() == cells.Withdrawn || w.Phase.Get() == cells.Stopped, Upstream: w.LocalUpstream.Get().Upstream,
+		Leaving: w.Phase.Get() == cells.Withdrawn || w.Phase.Get() == cells.Stopped, Upstream: w.LocalUpstream.Get().Upstream, Beside: w.BesideUpstream.Get().Upstream,
 	}
 }
 
@@ -126,9 +132,15 @@
 	if a.PlatformRTT > 0 {
 		b.PlatformRTT = a.PlatformRTT
 	}
-	b.Upstream.Sequence, b.Upstream.ColdRemaining = a.Upstream.Sequence, a.Upstream.ColdRemaining
-	if a.Upstream.StartedAt.Equal(b.Upstream.StartedAt) {
-		b.Upstream.StartedAt = a.Upstream.StartedAt
-	}
+	b.Upstream, b.Beside = ignoreVolatile(a.Upstream, b.Upstream), ignoreVolatile(a.Beside, b.Beside)
 	return a == b
 }
+
+// ignoreVolatile returns b with the fields of a that change all the time.
+func ignoreVolatile(a, b fleet.Upstream) fleet.Upstream {
+	b.Sequence, b.ColdRemaining = a.Sequence, a.ColdRemaining
+	if a.StartedAt.Equal(b.StartedAt) {
+		b.StartedAt = a.StartedAt
+	}
+	return b
+}
--- /dev/null
+++ b/internal/ctrl/rolloutagent.go
@@ -0,0 +1,211 @@
+package ctrl
+
+import (
+	"slices"
+	"time"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/ctlmsg"
+	"arbutusstep.example/arbutusstep/pkg/board"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/shift"
+)
+
+const (
+	// collectInterval is the time between two collections of outcomes while an order runs,
+	// and countsInterval the time between two messages with their sums.
+	collectInterval = 250 * time.Millisecond
+	countsInterval  = 500 * time.Millisecond
+)
+
+// rolloutAgent keeps the orders in force on this proxy. It passes their state down the tree
+// of readers and the outcomes of requests up, and stops a trial on its own outcomes.
+type rolloutAgent struct {
+	*cells.Proxy
+	alarm board.Alarm
+	agent shift.Agent
+	// subscribers contains the links that subscribed, and whether the state in force was
+	// sent on them.
+	subscribers map[cells.LinkID]bool
+	// unsent holds the outcomes that are to be sent up.
+	unsent cells.OutcomeCounts
+	// collectedAt and countsSentAt are when outcomes were last collected and sent.
+	collectedAt, countsSentAt time.Time
+	// confirmedAt is the newest confirmation by a root, and confirmed is true if it was not
+	// sent down yet. Older ones are not passed on, so that readers that receive from each
+	// other do not confirm each other for ever.
+	confirmedAt time.Time
+	confirmed   bool
+	// ownAt is the last confirmation that was taken from RolloutViews.
+	ownAt time.Time
+	// revision counts the changes of the state.
+	revision int
+}
+
+func newRolloutAgent(proxy *cells.Proxy) board.Controller {
+	a := &rolloutAgent{Proxy: proxy, subscribers: make(map[cells.LinkID]bool), unsent: make(cells.OutcomeCounts)}
+	return board.Controller{
+		Name:   "rolloutAgent",
+		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.Outcomes, &proxy.RolloutViews, &a.alarm},
+		Uses:   []board.Ref{&proxy.Self, &proxy.Tree, &proxy.Peers},
+		Writes: []board.Ref{&proxy.Rollouts, &proxy.CollectOutcomes, &proxy.LinkCommands, &proxy.LogEvents, &a.alarm},
+		Step:   a.step,
+	}
+}
+
+func (a *rolloutAgent) step(now time.Time) {
+	changed := false
+	for _, e := range a.LinkEvents.Events() {
+		changed = a.handleLink(e, now) || changed
+	}
+	if own := a.RolloutViews.Get(); own.ConfirmedAt.After(a.ownAt) {
+		a.ownAt = own.ConfirmedAt
+		changed = a.learn(own.Views, own.ConfirmedAt) || changed
+	}
+	for _, o := range a.Outcomes.Events() {
+		changed = a.observe(o, now) || changed
+	}
+	if changed {
+		a.revision++
+		for l := range a.subscribers {
+			a.subscribers[l] = false
+		}
+	}
+	if changed || a.confirmed {
+		a.publish()
+	}
+	a.sendState(now)
+	if a.agent.Running() {
+		a.collect(now)
+	}
+}
+
+func (a *rolloutAgent) handleLink(e cells.LinkEvent, now time.Time) (changed bool) {
+	if e.Kind == cells.LinkDown {
+		delete(a.subscribers, e.Link)
+		return false
+	}
+	switch m := e.Message.(type) {
+	case ctlmsg.Subscribe:
+		a.subscribers[e.Link] = false
+	case ctlmsg.ShiftState:
+		return a.learn(m.Views, now.Add(-m.Age))
+	case ctlmsg.ShiftCounts:
+		if !a.isRoot() {
+			a.unsent.Add(m.Counts)
+		}
+	}
+	return false
+}
+
+func (a *rolloutAgent) isRoot() bool {
+	tree := a.Tree.Get()
+	return tree != nil && tree.IsRoot(a.Self.Get().Host)
+}
+
+// learn takes views that a root confirmed at the given time.
+func (a *rolloutAgent) learn(views []shift.View, confirmedAt time.Time) (changed bool) {
+	for _, v := range views {
+		old, _ := a.agent.View(v.Service)
+		if !a.agent.Learn(confirmedAt, v) {
+			continue
+		}
+		changed = true
+		if next, _ := a.agent.View(v.Service); old.Status.Phase != next.Status.Phase || old.Halted != next.Halted || old.Status.Target != next.Status.Target {
+			a.log("rolloutState", v.Service, next.Status, cells.LogField{Name: "halted", Value: next.Halted})
+		}
+	}
+	if confirmedAt.After(a.confirmedAt) {
+		a.confirmedAt, a.confirmed = confirmedAt, true
+	}
+	return changed
+}
+
+func (a *rolloutAgent) log(name string, service mesh.Service, status shift.Status, field cells.LogField) {
+	a.LogEvents.Send(cells.LogEvent{Name: name, Fields: []cells.LogField{
+		{Name: "object", Value: string(service)}, {Name: "target", Value: string(status.Target)}, {Name: "phase", Value: status.Phase.String()},
+		{Name: "share", Value: status.Share}, field,
+	}})
+}
+
+// observe takes the outcomes of this proxy. changed is true if they end a trial.
+func (a *rolloutAgent) observe(outcomes cells.OutcomeCounts, now time.Time) (changed bool) {
+	for service, counts := range outcomes {
+		if reason := a.agent.Observe(now, service, counts); reason != "" {
+			view, _ := a.agent.View(service)
+			a.log("rolloutHalted", service, view.Status, cells.LogField{Name: "reason", Value: reason})
+			changed = true
+		}
+	}
+	if !a.isRoot() {
+		a.unsent.Add(outcomes)
+	}
+	return changed
+}
+
+// publish sets the cell Rollouts.
+func (a *rolloutAgent) publish() {
+	next := cells.Rollouts{
+		Revision: a.revision, Views: make(map[mesh.Service]shift.View), Trials: make(map[mesh.Service]shift.Trial), Running: make(map[mesh.Service]bool),
+	}
+	for _, v := range a.agent.Views() {
+		next.Views[v.Service] = v
+		if v.Status.Phase == shift.Running {
+			next.Running[v.Service] = true
+		}
+		if trial := a.agent.Trial(v.Service); trial.Share > 0 {
+			next.Trials[v.Service] = trial
+		}
+	}
+	a.Rollouts.Set(next)
+}
+
+// sendState sends the state to the subscribers: to new ones, to all when it changed, and
+// when it was confirmed. A halt by the outcomes of this proxy alone goes down as well.
+func (a *rolloutAgent) sendState(now time.Time) {
+	views := a.agent.Views()
+	for l, sent := range a.subscribers {
+		if len(views) > 0 && (!sent || a.confirmed && a.agent.Running()) {
+			proxySend(a.Proxy, l, ctlmsg.ShiftState{Views: views, Age: now.Sub(a.confirmedAt)})
+		}
+		a.subscribers[l] = len(views) > 0
+	}
+	a.confirmed = false
+}
+
+// collect requests the outcomes of this proxy and sends the sums up.
+func (a *rolloutAgent) collect(now time.Time) {
+	if now.Sub(a.collectedAt) >= collectInterval {
+		a.collectedAt = now
+		a.CollectOutcomes.Send(now)
+	}
+	if now.Sub(a.countsSentAt) >= countsInterval && len(a.unsent) > 0 {
+		if links := a.uplinks(); len(links) > 0 {
+			for _, l := range links {
+				proxySend(a.Proxy, l, ctlmsg.ShiftCounts{Counts: a.unsent})
+			}
+			a.countsSentAt, a.unsent = now, make(cells.OutcomeCounts)
+		}
+	}
+	a.alarm.SetIfEarlier(now.Add(collectInterval))
+}
+
+// uplinks returns the links on which counts are sent. Each root gets all counts, so that
+// any of them can decide; of other parents only one does, so that none are counted twice.
+func (a *rolloutAgent) uplinks() (links []cells.LinkID) {
+	self, tree := a.Self.Get(), a.Tree.Get()
+	if tree == nil {
+		return nil
+	}
+	for _, parent := range tree.Parents(self.Host, self.Place) {
+		isParent := func(p *cells.Peer) bool { return p.Dialed && p.Hello.Host == parent.Host }
+		peers := a.Peers.Read().Identified()
+		if i := slices.IndexFunc(peers, isParent); i >= 0 {
+			links = append(links, peers[i].Link)
+			if !tree.IsRoot(parent.Host) {
+				return links
+			}
+		}
+	}
+	return links
+}
--- a/internal/proxy/healthcheck.go
+++ b/internal/proxy/healthcheck.go
@@ -18,6 +18,7 @@
 }
 
 func (p *Proxy) checkHealth(check cells.HealthCheck) (result cells.HealthResult) {
+	defer func() { result.Address = check.Address }()
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+check.Address.String()+check.Path, http.NoBody)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,7 +22,6 @@
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/conf"
 	"arbutusstep.example/arbutusstep/internal/ctrl"
-	"arbutusstep.example/arbutusstep/internal/delta"
 	"arbutusstep.example/arbutusstep/internal/depot"
 	"arbutusstep.example/arbutusstep/internal/egress"
 	"arbutusstep.example/arbutusstep/internal/front"
@@ -32,7 +31,6 @@
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/serve"
-	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/sock"
 	"arbutusstep.example/arbutusstep/internal/steer"
 	"arbutusstep.example/arbutusstep/internal/store"
@@ -94,6 +92,7 @@
 	// VersionKind and RecordKind are the kinds of the objects that hold the operator's
 	// document and the records of the nodes.
 	VersionKind, RecordKind string
+	Rollouts                Rollouts
 	DecodePlan              func(data []byte) (*plan.Plan, error)
 	// RedactPlan returns the operator's document without keys of accounts, for pages
 	// that show it; nil if documents contain no secrets.
@@ -124,6 +123,7 @@
 	bodyMemory    quota.Memory
 	gate          gate.Gate
 	handler       serve.Handler
+	beside        besideUpstream
 	router        steer.Router
 	front         front.Server
 	metrics       *meter.Meter
@@ -215,7 +215,7 @@
 		Timeout: platformTimeout, WatchWait: watchWait, WatchGrace: watchGracePeriod,
 		RateLimiter: &store.RateLimiter{Rate: settings.Limits.PlatformRate, Burst: platformBurst},
 	})
-	kinds := depot.Kinds{Versions: p.platform.VersionKind, Records: p.platform.RecordKind}
+	kinds := depot.Kinds{Versions: p.platform.VersionKind, Records: p.platform.RecordKind, Rollouts: p.platform.Rollouts.Kind, EncodeStatus: p.platform.Rollouts.EncodeStatus}
 	p.objects = depot.New(p.store, &p.cells.ObjectEvents, kinds, p.platformDialer.lowestRTT)
 	p.pool.Dialer = sock.Transport{UserTimeout: tcpUserTimeout, WriteCounter: &p.egressLink}
 	p.pool.DialTimeout, p.pool.PingTimeout = dialTimeout, pingTimeout(settings.Limits.Link)
@@ -223,15 +223,9 @@
 	p.egressLink.SetRate(settings.Limits.Link * bytesPerMegabit * linkSharePercent / 100)
 	p.healthClient.Transport = &http.Transport{DisableKeepAlives: true}
 	p.healthClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	p.handler.Link, p.front.Link, p.handler.Memory = &p.egressLink, &p.egressLink, &p.bodyMemory
-	p.handler.Gate, p.handler.Headers = &p.gate, p.platform.Headers
-	p.handler.OnUnreachable, p.handler.OnUnanswered = p.reportUnreachable, p.requestLog.logUnanswered
-	p.handler.FinishBy, p.router.FinishBy = p.finishBy, p.finishBy
-	p.handler.OnPanic, p.router.OnPanic = p.logPanic, p.logPanic
-	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
-	p.handler.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
-	p.handler.FanOut = func() float64 { return p.router.Budget.MaxFanOut(time.Now(), p.settings.Load().Service) }
-	p.peers.CallHandler, p.peers.ControlHandler = &p.handler, p.links
+	p.front.Link, p.router.FinishBy, p.router.OnPanic = &p.egressLink, p.finishBy, p.logPanic
+	p.initHandlers()
+	p.peers.CallHandler, p.peers.ControlHandler = upstreamDispatcher{p}, p.links
 }
 
 // startControl adds the controllers to the board and starts the control thread.
@@ -240,7 +234,7 @@
 	p.cells.Self.Set(cells.ProxySelf{
 		Host: settings.Host, Place: p.place(), Address: p.announcedAddr(),
 		LinkRate: int64(settings.Limits.Link * bytesPerMegabit), StartedAt: p.startedAt, Heartbeat: settings.Heartbeat,
-		Revocation: settings.Revocation, EnforceQuotas: settings.Quota.Window > 0,
+		Revocation: settings.Revocation, EnforceQuotas: settings.Quota.Window > 0, DirectRollouts: p.platform.Rollouts.Kind != "",
 	})
 	p.cells.LinkCommands.Handle = p.links.Execute
 	p.cells.ObjectCommands.Handle = p.objects.Handle
@@ -249,7 +243,8 @@
 	p.cells.SnapshotUpdates.Handle = p.applySnapshot
 	p.cells.LogEvents.Handle = p.logEvent
 	p.cells.MetricsTicks.Handle = p.updateGauges
-	ctrl.AddProxy(&p.board, &p.cells, codec{p.platform.DecodePlan}, rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	p.cells.CollectOutcomes.Handle = p.collectOutcomes
+	ctrl.AddProxy(&p.board, &p.cells, codec{p.platform.DecodePlan, p.platform.Rollouts.Decode}, rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopControl = cancel
 	p.goroutines.Go(func() { p.board.Run(ctx) })
@@ -258,7 +253,7 @@
 // startTraffic starts to serve other proxies and callers.
 func (p *Proxy) startTraffic() {
 	settings := p.settings.Load()
-	p.router.Snapshots, p.router.Remote, p.router.Local = snapshotSource{&p.cells, p.snapshotReady}, &p.pool, &peer.LocalCaller{Handler: &p.handler}
+	p.router.Snapshots, p.router.Remote, p.router.Local = snapshotSource{&p.cells, p.snapshotReady}, &p.pool, &peer.LocalCaller{Handler: upstreamDispatcher{p}}
 	p.router.Pinger = &p.pool
 	p.router.Headers, p.router.Recorder = p.platform.Headers, &p.requestLog
 	p.router.Host, p.router.Place = settings.Host, p.place()
@@ -372,23 +367,6 @@
 	return s.cells.Freshness.Load().LastConfirmed(now)
 }
 
-// codec encodes and decodes documents and records.
-type codec struct {
-	decodePlan func(data []byte) (*plan.Plan, error)
-}
-
-// DecodePlan implements ctrl.Codec.
-func (c codec) DecodePlan(data []byte) (*plan.Plan, error) { return c.decodePlan(data) }
-
-// DecodeNode implements ctrl.Codec.
-func (c codec) DecodeNode(data []byte) (fleet.Node, error) { return sheet.DecodeNode(data) }
-
-// Compress implements ctrl.Codec.
-func (c codec) Compress(data, base []byte) ([]byte, error) { return delta.Compress(data, base) }
-
-// Decompress implements ctrl.Codec.
-func (c codec) Decompress(packed, base []byte) ([]byte, error) { return delta.Decompress(packed, base) }
-
 // httpStatus returns the status code of a readiness check.
 func httpStatus(ready bool) int {
 	if ready {
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -10,16 +10,9 @@
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/conf"
-	"arbutusstep.example/arbutusstep/internal/serve"
-	"arbutusstep.example/arbutusstep/pkg/gate"
-	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
-// floors is the percentage of the gate's slots that is reserved for each priority
-// under full load.
-var floors = [mesh.NumPriorities]int{mesh.Low: 5, mesh.Normal: 5, mesh.High: 10}
-
 // applySnapshot configures the gate and the call handler by the new snapshot. It runs
 // on the control thread.
 func (p *Proxy) applySnapshot(mesh.Version) {
@@ -28,30 +21,7 @@
 		p.snapshotReadyClosed = true
 		close(p.snapshotReady)
 	}
-	upstream := snapshot.LocalUpstream
-	if upstream.Slots > 0 && upstream.Slots != p.gateSlots {
-		p.gateSlots = upstream.Slots
-		p.gate.Configure(gate.Config{Slots: upstream.Slots, Floors: floors, FixedLimit: true, PredictWait: true})
-	}
-	target := serve.Target{Instance: upstream.Instance, Service: upstream.Service}
-	service, _ := snapshot.Plan.Service(upstream.Service)
-	target.MaxConnections = service.MaxConnections
-	switch upstream.State {
-	case member.Ready, member.Warming:
-		target.Address = upstream.Address
-	case member.Draining, member.Left:
-		target.Address, target.AdmitUntil = upstream.Address, snapshot.AdmitUntil
-	case member.Lost:
-	}
-	if upstream.Instance == "" {
-		target = serve.Target{}
-	}
-	p.handler.SetTarget(target)
-}
-
-// reportUnreachable tells the control thread that connections to the upstream fail.
-func (p *Proxy) reportUnreachable() {
-	p.cells.UnreachableInstances.Post(p.cells.Snapshot.Load().LocalUpstream.Instance)
+	p.applyUpstreams(&snapshot)
 }
 
 // readiness tracks the readiness checks of the platform.
@@ -145,6 +115,7 @@
 	for _, g := range gauges {
 		p.metrics.Scope.Gauge(g.name).Update(g.value)
 	}
+	p.updateRolloutGauges()
 }
 
 // asNumber returns 1 for true and 0 for false.
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -53,7 +53,7 @@
 			p.cells.LifecycleCommands.Post(cells.Withdraw)
 			withdrawn, lastBusy = true, now
 		}
-		if mayGetRequests || p.front.PendingRequests() > 0 || p.gate.Load().Running > 0 {
+		if mayGetRequests || p.front.PendingRequests() > 0 || p.gate.Load().Running+p.beside.gate.Load().Running > 0 {
 			lastBusy = now
 		}
 		if now.Sub(lastBusy) >= idlePeriod || now.After(deadline) {
--- a/internal/steer/fetch.go
+++ b/internal/steer/fetch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/pkg/pick"
@@ -64,7 +65,7 @@
 }
 
 func (r *Router) fetchBlocking(ctx context.Context, call *peer.Call, candidate pick.Candidate) (result fetched) {
-	if candidate.Host == r.Host {
+	if cells.IsOnHost(candidate, r.Host) {
 		result.reply, result.err = r.Local.Call(ctx, call)
 	} else {
 		result.reply, result.err = r.Remote.Call(ctx, candidate.Node, call)
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -108,6 +108,7 @@
 
 	Picker   pick.Picker
 	Budget   retry.SharedBudget
+	Outcomes OutcomeTally
 	timeouts timeoutTracker
 
 	attemptCount atomic.Uint64
@@ -124,6 +125,8 @@
 	snapshot cells.ProxySnapshot
 	// tried lists the hosts of the attempts so far.
 	tried []mesh.HostID
+	// inTrial is true if the current attempt is part of the trial of a release.
+	inTrial bool
 	// upstreamAttempts counts the attempts that may have reached an upstream.
 	upstreamAttempts int
 	deadline         time.Time
@@ -264,7 +267,7 @@
 func (r *Router) runAttempts(ctx context.Context, rs *requestState) *front.Response {
 	for {
 		candidate, expected, err := r.Picker.PickCheapest(time.Now(), pick.CostRequest{
-			Set: rs.snapshot.CandidateSets[rs.service], From: r.Place, FromHost: r.Host, Tried: rs.tried, Class: rs.rule.Name, DistanceCosts: r.distanceCosts(rs),
+			Set: r.candidateSet(rs), From: r.Place, FromHost: r.Host, Tried: rs.tried, Class: rs.rule.Name, DistanceCosts: r.distanceCosts(rs),
 			LargeResponse: rs.rule.Kind == plan.Download, CallerNodes: rs.snapshot.NodeCount,
 		})
 		if err != nil {
@@ -295,7 +298,7 @@
 	if status < http.StatusInternalServerError || !rs.rule.Kind.IsIdempotent() {
 		return false
 	}
-	return r.Picker.IsOutlier(rs.snapshot.CandidateSets[rs.service], host) && r.tryWithdrawRetry(rs)
+	return (rs.inTrial || r.Picker.IsOutlier(rs.snapshot.CandidateSets[rs.service], host)) && r.tryWithdrawRetry(rs)
 }
 
 // queueLimits returns how long from now a request may wait for a slot. typical is the
@@ -352,7 +355,8 @@
 	large := rs.rule.Kind == plan.Download
 	pending := r.Picker.BeginWithExpectedLatency(start, candidate.Host, expected, large)
 	var outcome pick.Outcome
-	reply, body, err := r.fetch(ctx, r.newCall(rs), candidate)
+	observer := r.observeAttempt(rs, candidate)
+	reply, body, err := r.fetch(ctx, r.addressCall(rs, r.newCall(rs), candidate), candidate)
 	now := time.Now()
 	if err != nil {
 		callErr = toCallError(err)
@@ -371,6 +375,7 @@
 		}
 	}
 	pending.End(now, outcome)
+	observer.end(ctx, reply, callErr)
 	if reply != nil {
 		r.Budget.RecordFanOut(now, rs.service, float64(reply.Head.GetCallsPercent())/100)
 	}
--- a/pkg/pick/candidate_set.go
+++ b/pkg/pick/candidate_set.go
@@ -28,6 +28,8 @@
 	// ReadySince is when this node first saw the host ready, zero when that was long
 	// ago and the host needs no slow start.
 	ReadySince time.Time
+	// Release is the version of the software of the upstream; empty if unknown.
+	Release mesh.Release
 }
 
 // CandidateSet is an immutable set of the upstreams of one service. A nil
