Wait for the orders before a started proxy serves requests

A proxy that was started again knew the records before the orders, and sent requests to a release that was rolled back.

--- a/internal/cells/rollout.go
+++ b/internal/cells/rollout.go
@@ -25,6 +25,8 @@
 // intervals, which confirms the shares.
 type RolloutViews struct {
 	Views []shift.View
+	// Loaded is true once all orders were read.
+	Loaded bool
 	// ConfirmedAt is when the views were last set.
 	ConfirmedAt time.Time
 }
@@ -33,6 +35,8 @@
 type Rollouts struct {
 	// Revision increases with each change other than a confirmation.
 	Revision int
+	// Loaded is true once all orders are known.
+	Loaded bool
 	Views    map[mesh.Service]shift.View
 	// Trials contains the trials in progress, and Running the services of orders that
 	// are not ended, whose outcomes are counted.
--- a/internal/ctlmsg/ctlmsg.go
+++ b/internal/ctlmsg/ctlmsg.go
@@ -194,7 +194,10 @@
 	Revision uint64
 	// Complete is true if hosts that are not listed have no record.
 	Complete bool
-	Entries  []RosterEntry
+	// HasRollouts is true if the sender knows all orders to move services, and has sent
+	// them.
+	HasRollouts bool
+	Entries     []RosterEntry
 }
 
 // RosterEntry is the stored record of one host.
--- a/internal/ctrl/proxy.go
+++ b/internal/ctrl/proxy.go
@@ -38,9 +38,11 @@
 		newRecordWriter(proxy, source),
 		newSourceSelector(proxy),
 		newVersionApplier(proxy, codec),
-		newPublisher(proxy, codec),
 		newRolloutDirector(proxy, codec, source),
+		// It runs before the publisher, so that orders are sent before the records of
+		// upstreams that they forbid.
 		newRolloutAgent(proxy),
+		newPublisher(proxy, codec),
 		newSweeper(proxy),
 		newProxyLifecycle(proxy),
 		newProxySnapshotBuilder(proxy),
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -132,6 +132,9 @@
 	// healthInstances contains the instance that answers health checks on a host. On
 	// hosts that are not listed, the instance that sends the reports answers.
 	healthInstances map[mesh.HostID]string
+	// onStart is called for each new process before its controllers are added. It may be
+	// nil.
+	onStart func(p *simProxy)
 }
 
 func newSim(t *testing.T, hosts int) *sim {
@@ -189,6 +192,9 @@
 	}
 	p.cells.LogEvents.Handle = func(cells.LogEvent) {}
 	p.cells.MetricsTicks.Handle = func(time.Time) {}
+	if s.onStart != nil {
+		s.onStart(p)
+	}
 	AddProxy(&p.board, p.cells, testCodec{}, rand.NewPCG(1, uint64(len(host))))
 	s.proxies = append(s.proxies, p)
 	return p
@@ -287,13 +293,18 @@
 	case s.platformUnreachable(p):
 		event.Result, event.Err = cells.StoreFailed, errors.New("unreachable")
 	default:
-		stored := s.objects[c.Kind][string(c.Host)]
+		stored := s.objects[c.Kind][string(c.Host)+string(c.Service)]
 		switch {
 		case stored.Version != c.Version:
 			event.Result, event.Current = cells.StoreConflict, stored
 			if stored.Version == 0 {
 				event.Current = cells.Object{Name: string(c.Host), Version: c.Version, Deleted: true}
 			}
+		case c.Action == cells.PutStatus:
+			object, _ := testRollouts.Load(string(stored.Value))
+			next := object.(shift.Object)
+			next.Status = c.Status
+			event.Current = s.write(c.Kind, string(c.Service), encodeRollout(next))
 		case c.Action == cells.DeleteRecord:
 			s.remove(c.Kind, string(c.Host))
 			event.Current = cells.Object{Name: string(c.Host), Version: s.revision, Deleted: true}
--- a/internal/ctrl/publisher.go
+++ b/internal/ctrl/publisher.go
@@ -56,6 +56,7 @@
 	return board.Controller{
 		Name:   "publisher",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ActiveVersion, &proxy.Roster, &proxy.Freshness, &p.alarm},
+		Uses:   []board.Ref{&proxy.Rollouts},
 		Writes: []board.Ref{&proxy.LinkCommands, &proxy.LogEvents, &p.alarm},
 		Step:   p.step,
 	}
@@ -162,7 +163,7 @@
 	if s.rosterPosition >= 0 {
 		hosts, known = roster.ChangedSince(s.rosterPosition)
 	}
-	message := ctlmsg.Roster{Revision: roster.Revision, Complete: !known}
+	message := ctlmsg.Roster{Revision: roster.Revision, Complete: !known, HasRollouts: p.Rollouts.Get().Loaded}
 	if !known {
 		hosts = roster.Hosts()
 	}
--- a/internal/ctrl/rolloutagent.go
+++ b/internal/ctrl/rolloutagent.go
@@ -38,6 +38,8 @@
 	confirmed   bool
 	// ownAt is the last confirmation that was taken from RolloutViews.
 	ownAt time.Time
+	// loaded is true once all orders are known.
+	loaded bool
 	// revision counts the changes of the state.
 	revision int
 }
@@ -60,6 +62,7 @@
 	}
 	if own := a.RolloutViews.Get(); own.ConfirmedAt.After(a.ownAt) {
 		a.ownAt = own.ConfirmedAt
+		changed = a.setLoaded(own.Loaded) || changed
 		changed = a.learn(own.Views, own.ConfirmedAt) || changed
 	}
 	for _, o := range a.Outcomes.Events() {
@@ -90,6 +93,8 @@
 		a.subscribers[e.Link] = false
 	case ctlmsg.ShiftState:
 		return a.learn(m.Views, now.Add(-m.Age))
+	case ctlmsg.Roster:
+		return a.setLoaded(m.HasRollouts)
 	case ctlmsg.ShiftCounts:
 		if !a.isRoot() {
 			a.unsent.Add(m.Counts)
@@ -98,6 +103,12 @@
 	return false
 }
 
+func (a *rolloutAgent) setLoaded(loaded bool) (changed bool) {
+	changed = loaded && !a.loaded
+	a.loaded = a.loaded || loaded
+	return changed
+}
+
 func (a *rolloutAgent) isRoot() bool {
 	tree := a.Tree.Get()
 	return tree != nil && tree.IsRoot(a.Self.Get().Host)
@@ -146,7 +157,7 @@
 // publish sets the cell Rollouts.
 func (a *rolloutAgent) publish() {
 	next := cells.Rollouts{
-		Revision: a.revision, Views: make(map[mesh.Service]shift.View), Trials: make(map[mesh.Service]shift.Trial), Running: make(map[mesh.Service]bool),
+		Revision: a.revision, Loaded: a.loaded, Views: make(map[mesh.Service]shift.View), Trials: make(map[mesh.Service]shift.Trial), Running: make(map[mesh.Service]bool),
 	}
 	for _, v := range a.agent.Views() {
 		next.Views[v.Service] = v
--- a/internal/ctrl/rolloutdirector.go
+++ b/internal/ctrl/rolloutdirector.go
@@ -36,6 +36,8 @@
 	orders map[mesh.Service]*directedOrder
 	// answeredAt is when the platform last answered the watch.
 	answeredAt time.Time
+	// loaded is true once all orders were read, and published once that was set.
+	loaded, published bool
 	// confirmedAt is when the views were last set.
 	confirmedAt time.Time
 }
@@ -111,6 +113,7 @@
 	case e.Action == cells.WatchObjects && e.Result == cells.StoreDone:
 		d.answeredAt = now
 		if e.Complete {
+			d.loaded = true
 			for _, o := range d.orders {
 				o.Forget()
 			}
@@ -262,9 +265,10 @@
 		}
 		confirm = confirm || !view.Status.Phase.Final() && (order.IsHolder() || now.Sub(d.answeredAt) < maxAnswerAge)
 	}
+	changed = changed || d.loaded && !d.published
 	if changed || confirm && now.Sub(d.confirmedAt) >= confirmInterval {
-		d.confirmedAt = now
-		d.RolloutViews.Set(cells.RolloutViews{Views: views, ConfirmedAt: now})
+		d.confirmedAt, d.published = now, d.loaded
+		d.RolloutViews.Set(cells.RolloutViews{Views: views, Loaded: d.loaded, ConfirmedAt: now})
 	}
 }
 
--- a/internal/wire/roster.go
+++ b/internal/wire/roster.go
@@ -8,7 +8,7 @@
 )
 
 func encodeRoster(m ctlmsg.Roster) *Roster {
-	roster := &Roster{Revision: m.Revision, Whole: m.Complete, Entries: make([]*RosterEntry, len(m.Entries))}
+	roster := &Roster{Revision: m.Revision, Whole: m.Complete, HasShift: m.HasRollouts, Entries: make([]*RosterEntry, len(m.Entries))}
 	for i, e := range m.Entries {
 		roster.Entries[i] = &RosterEntry{Host: string(e.Host), Version: e.Version, Record: e.Record}
 	}
@@ -16,7 +16,7 @@
 }
 
 func decodeRoster(r *Roster) (message ctlmsg.Message, err error) {
-	m := ctlmsg.Roster{Revision: r.GetRevision(), Complete: r.GetWhole(), Entries: make([]ctlmsg.RosterEntry, len(r.GetEntries()))}
+	m := ctlmsg.Roster{Revision: r.GetRevision(), Complete: r.GetWhole(), HasRollouts: r.GetHasShift(), Entries: make([]ctlmsg.RosterEntry, len(r.GetEntries()))}
 	for i, e := range r.GetEntries() {
 		if err = mesh.CheckName(e.GetHost()); err != nil {
 			return nil, fmt.Errorf("roster: %w", err)
