--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -135,6 +135,9 @@
 	// onStart is called for each new process before its controllers are added. It may be
 	// nil.
 	onStart func(p *simProxy)
+	// holds reports whether the platform does not answer the watch of a proxy yet. It may
+	// be nil.
+	holds func(p *simProxy, kind cells.ObjectKind) bool
 }
 
 func newSim(t *testing.T, hosts int) *sim {
@@ -319,7 +322,7 @@
 func (s *sim) deliverChanges() {
 	for _, p := range s.proxies {
 		for kind, revision := range p.watched {
-			if s.platformUnreachable(p) || revision == s.revision {
+			if s.platformUnreachable(p) || revision == s.revision || s.holds != nil && s.holds(p, kind) {
 				continue
 			}
 			event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: revision == 0, Revision: s.revision, RTT: nearRTT}
--- a/internal/ctrl/rollout_test.go
+++ b/internal/ctrl/rollout_test.go
@@ -35,6 +35,9 @@
 	s.sim = newSim(t, 0)
 	s.objects[cells.RolloutObjects] = map[string]cells.Object{}
 	s.onStart = s.prepare
+	s.holds = func(p *simProxy, kind cells.ObjectKind) bool {
+		return kind == cells.RolloutObjects && s.now.Sub(p.cells.Self.Load().StartedAt) < 400*time.Millisecond
+	}
 	for i := range hosts {
 		s.start(mesh.HostID(fmt.Sprintf("n%02d", i)), i < hosts/2)
 	}
