Test the path of a rollout from the registration to the requests

Failures are counted only if the host's node reported them: a host that is cut off says nothing about the version of its upstream. Platforms without rollouts are asked again every 10 s.

--- a/internal/cells/rollout.go
+++ b/internal/cells/rollout.go
@@ -37,7 +37,7 @@
 	Revision int
 	// Loaded is true once all orders are known.
 	Loaded bool
-	Views    map[mesh.Service]shift.View
+	Views  map[mesh.Service]shift.View
 	// Trials contains the trials in progress, and Running the services of orders that
 	// are not ended, whose outcomes are counted.
 	Trials  map[mesh.Service]shift.Trial
--- a/internal/ctrl/platformstatus.go
+++ b/internal/ctrl/platformstatus.go
@@ -26,6 +26,10 @@
 	status := p.PlatformStatus.Get()
 	old := status
 	for _, e := range p.ObjectEvents.Events() {
+		if e.Kind == cells.RolloutObjects {
+			// The platform may not have this kind.
+			continue
+		}
 		reachable := e.Result == cells.StoreDone || e.Result == cells.StoreConflict
 		if reachable != status.Reachable || status.Since.IsZero() {
 			status.Reachable, status.Since, status.Reason = reachable, now, ""
--- a/internal/ctrl/rolloutagent.go
+++ b/internal/ctrl/rolloutagent.go
@@ -134,8 +134,11 @@
 
 func (a *rolloutAgent) log(name string, service mesh.Service, status shift.Status, field cells.LogField) {
 	a.LogEvents.Send(cells.LogEvent{Name: name, Fields: []cells.LogField{
-		{Name: "object", Value: string(service)}, {Name: "target", Value: string(status.Target)}, {Name: "phase", Value: status.Phase.String()},
-		{Name: "share", Value: status.Share}, field,
+		{Name: "object", Value: string(service)},
+		{Name: "target", Value: string(status.Target)},
+		{Name: "phase", Value: status.Phase.String()},
+		{Name: "share", Value: status.Share},
+		field,
 	}})
 }
 
--- a/internal/ctrl/rolloutdirector.go
+++ b/internal/ctrl/rolloutdirector.go
@@ -253,7 +253,7 @@
 // lease is held here or the platform answers.
 func (d *rolloutDirector) publish(now time.Time) {
 	changed, confirm := false, false
-	var views []shift.View
+	views := make([]shift.View, 0, len(d.orders))
 	for _, service := range slices.Sorted(maps.Keys(d.orders)) {
 		order := d.orders[service]
 		view := order.View()
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -43,6 +43,9 @@
 	// rolloutWatchDelay is the delay before the next watch after a rollout changed. Its
 	// holder alone writes more than once a second.
 	rolloutWatchDelay = 100 * time.Millisecond
+	// unknownKindDelay is the delay before rollouts are listed again at a platform that
+	// does not have this kind.
+	unknownKindDelay = 10 * time.Second
 )
 
 // ObjectStore is the client of the platform's object store.
@@ -171,6 +174,12 @@
 			listed = false
 			continue
 		}
+		if kind == cells.RolloutObjects && errors.Is(err, store.ErrNotFound) {
+			listed = false
+			// The loop condition checks the context.
+			_ = pause.For(ctx, unknownKindDelay)
+			continue
+		}
 		d.post(cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Result: repo.ClassifyError(err), Err: err})
 		// The loop condition checks the context.
 		_ = backoff.Wait(ctx)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -62,6 +62,10 @@
 	// healthStatus is the status code of the upstream's response to health checks, and
 	// healthChecks the number of checks.
 	healthStatus, healthChecks atomic.Int32
+	// version is the version of the upstream's software; empty if it reports none.
+	version string
+	// fails makes the upstream fail every second request.
+	fails atomic.Bool
 }
 
 // newMesh starts one proxy for each of the services.
@@ -120,7 +124,7 @@
 	settings.Platform, settings.Heartbeat, settings.Stop = m.objects.Addr(), time.Minute, 6*time.Second
 	var err error
 	p.proxy, err = proxy.Start(settings, proxy.Platform{
-		Objects: store.KeyValueCodec{}, VersionKind: "config", RecordKind: "nodes",
+		Objects: statusCodec{}, VersionKind: "config", RecordKind: "nodes", Rollouts: testRollouts,
 		DecodePlan: platform.DecodePlan, RedactPlan: platform.RedactConfig, Headers: platform.HeaderCodec{}, Registrations: platform.RegistrationCodec{},
 	}, m.logger)
 	assert.NilError(t, err)
@@ -141,8 +145,9 @@
 		Status  any    `json:"status"`
 	}{p.upstream.Listener.Addr().String(), 1767323045000, struct {
 		Service string `json:"service"`
+		Version string `json:"version,omitempty"`
 		Slots   int    `json:"slots"`
-	}{service, 4}, struct {
+	}{service, p.version, 4}, struct {
 		State    string `json:"state"`
 		Sequence uint64 `json:"sequence"`
 	}{state, p.sequence.Add(1)}})
@@ -170,7 +175,14 @@
 	}
 	p.mutex.Lock()
 	p.requestIDs = append(p.requestIDs, r.Header.Get("X-Request-Id"))
+	count := len(p.requestIDs)
 	p.mutex.Unlock()
+	if p.fails.Load() && count%2 == 0 {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Response-Signature", "seal")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if hold := p.release.Load(); hold != nil {
 		select {
 		case <-*hold:
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -71,6 +71,8 @@
 	Nodes             int          `json:"nodes"`
 	Upstream          string       `json:"upstream,omitempty"`
 	State             string       `json:"state,omitempty"`
+	Beside            string       `json:"beside,omitempty"`
+	BesideState       string       `json:"besideState,omitempty"`
 	Running           int          `json:"running"`
 	Waiting           int          `json:"waiting"`
 	Slots             int          `json:"slots"`
@@ -80,7 +82,13 @@
 // Status returns the current state.
 func (p *Proxy) Status() Status {
 	active, snapshot, load := p.cells.ActiveVersion.Load(), p.cells.Snapshot.Load(), p.gate.Load()
+	beside := snapshot.BesideUpstream
+	besideState := ""
+	if beside.Instance != "" {
+		besideState = beside.State.String()
+	}
 	return Status{
+		Beside: beside.Instance, BesideState: besideState,
 		Host: p.settings.Load().Host, Phase: string(p.cells.Phase.Load()), Version: active.Plan.Version(), Since: active.Since,
 		Source: active.Source, Reason: active.RefusalReason, RefusedVersion: active.RefusedVersion, ReadsPlatform: p.cells.ReadsPlatform.Load(), PlatformReachable: p.cells.PlatformStatus.Load().Reachable,
 		Nodes: snapshot.NodeCount, Upstream: snapshot.LocalUpstream.Instance, State: snapshot.LocalUpstream.State.String(),
--- a/internal/sheet/node_test.go
+++ b/internal/sheet/node_test.go
@@ -16,6 +16,7 @@
 )
 
 const completeNode = `{"host":"lsn-a-1","region":"ch-west","zone":"lsn-a","address":"10.0.0.1:7000","trip":"2ms","linkBytesPerSecond":1000,` +
+	`"beside":{"instance":"i-2","sequence":1,"service":"orders","release":"v2","address":"10.0.1.1:81","state":"ready","slots":8},` +
 	`"upstream":{"instance":"i-1","sequence":3,"service":"orders","address":"10.0.0.1:80","state":"ready","slots":9,"coldMilliseconds":1500}}`
 
 func TestDecodeNode(t *testing.T) {
@@ -26,6 +27,8 @@
 		PlatformRTT: 2 * time.Millisecond, LinkRate: 1000, Upstream: fleet.Upstream{
 			Instance: "i-1", Sequence: 3, Service: "orders", Address: netip.MustParseAddrPort("10.0.0.1:80"),
 			State: member.Ready, Slots: 9, ColdRemaining: 1500 * time.Millisecond,
+		}, Beside: fleet.Upstream{
+			Instance: "i-2", Sequence: 1, Service: "orders", Release: "v2", Address: netip.MustParseAddrPort("10.0.1.1:81"), State: member.Ready, Slots: 8,
 		},
 	}, cmpopts.EquateComparable(netip.AddrPort{}, time.Time{}))
 	encoded, err := sheet.EncodeNode(n)
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -121,8 +121,11 @@
 			o.recordLate()
 		}
 		return
-	default:
+	case callErr.FromRemote || callErr.Reason == peer.ReasonProtocol:
 		outcome.Failed = true
+	default:
+		// The node of the host did not answer, which says nothing about its upstream.
+		return
 	}
 	o.tally.update(o.rs, func(counts shift.Counts) { counts.Record(o.key, outcome) })
 }
--- /dev/null
+++ b/internal/steer/rollout_test.go
@@ -0,0 +1,95 @@
+package steer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"arbutusstep.example/arbutusstep/internal/cells"
+	"arbutusstep.example/arbutusstep/internal/peer"
+	"arbutusstep.example/arbutusstep/internal/serve"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
+	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/shift"
+)
+
+// startTrial adds a trial of v2 on one host to the snapshot of a router.
+func startTrial(snapshots fixedSnapshot, trial shift.Trial) fixedSnapshot {
+	candidate := pick.Candidate{Host: "h1+v2", Node: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 9, Release: "v2"}
+	snapshots.snapshot.Trials = map[mesh.Service]cells.ServiceTrial{"orders": {
+		Trial: trial, Set: pick.NewCandidateSet(mesh.ServiceID{Customer: "trial", Service: "orders"}, []pick.Candidate{candidate}),
+	}}
+	snapshots.snapshot.CountOutcomes = map[mesh.Service]bool{"orders": true}
+	return snapshots
+}
+
+// TestTrialGetsItsShare guards against requests to a new release beyond its share, after
+// the trial ended, and as retries.
+func TestTrialGetsItsShare(t *testing.T) {
+	later := time.Now().Add(time.Hour)
+	tests := []struct {
+		name     string
+		trial    shift.Trial
+		low, top int
+	}{
+		{name: "tenth", trial: shift.Trial{Share: 0.1, Until: later}, low: 60, top: 140},
+		{name: "share of the route", trial: shift.Trial{Share: 0.9, RouteShares: map[string]float64{"r": 0.1}, Until: later}, low: 60, top: 140},
+		{name: "all", trial: shift.Trial{Share: 1, Until: later}, low: 1000, top: 1000},
+		{name: "not confirmed any more", trial: shift.Trial{Share: 1, Until: time.Now()}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &scriptedCaller{results: []callResult{{status: 200, serviceTime: time.Millisecond}}}
+			router, _ := newRouter(t, plan.Idempotent, 2, s)
+			router.Snapshots = startTrial(router.Snapshots.(fixedSnapshot), tt.trial)
+			for i := range 1000 {
+				router.Handle(t.Context(), newRequest("/o/x", map[string]string{"id": fmt.Sprint(i)}))
+			}
+			tried := 0
+			for _, c := range s.calls {
+				if c.GetRelease() == "v2" {
+					tried++
+				}
+			}
+			assert.Assert(t, tt.low <= tried && tried <= tt.top, "%d", tried)
+			counts := router.Outcomes.Take()["orders"]
+			assert.Equal(t, counts[shift.Key{Release: "v2", Route: "r"}].Responses, uint64(tried))
+			assert.Equal(t, counts[shift.Key{Release: "", Route: "r"}].Timed, uint64(1000-tried))
+		})
+	}
+}
+
+// TestOutcomesOfTrialsAreCounted guards against failures that are missed, and against ones
+// that are counted although the release had no part in them.
+func TestOutcomesOfTrialsAreCounted(t *testing.T) {
+	ok := callResult{status: 200, serviceTime: time.Millisecond}
+	tests := []struct {
+		name   string
+		first  callResult
+		want   shift.Count
+		status int
+	}{
+		{name: "error response, retried at the old release", first: callResult{status: 500}, want: shift.Count{Responses: 1, Failures: 1}, status: 200},
+		{name: "no response of the upstream", first: callResult{callErr: &peer.CallError{Outcome: peer.Unknown, Reason: "upstream-reset", FromRemote: true}}, want: shift.Count{Responses: 1, Failures: 1}, status: 200},
+		{name: "response cut off", first: unknown(peer.ReasonProtocol), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
+		{name: "no response of the host", first: unknown(peer.ReasonSessionLost), status: 200},
+		{name: "refused by the upstream", first: notRun(serve.ReasonRefused), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
+		{name: "full", first: notRun("gate-late"), status: 200},
+		{name: "host unreachable", first: notRun(peer.ReasonDialFailed), status: 200},
+		{name: "no response until the deadline", first: callResult{hangs: true}, want: shift.Count{Late: 1}, status: 504},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &scriptedCaller{results: []callResult{tt.first, ok}}
+			router, _ := newRouter(t, plan.Idempotent, 2, s)
+			router.Snapshots = startTrial(router.Snapshots.(fixedSnapshot), shift.Trial{Share: 1, Until: time.Now().Add(time.Hour)})
+			response := router.Handle(t.Context(), newRequest("/o/x", map[string]string{"id": "1"}))
+			assert.Equal(t, response.Status, tt.status)
+			assert.Equal(t, router.Outcomes.Take()["orders"][shift.Key{Release: "v2", Route: "r"}], tt.want)
+		})
+	}
+}
