--- a/pkg/shift/fleet_test.go
+++ b/pkg/shift/fleet_test.go
@@ -22,7 +22,6 @@
 	slowFactor     = 8
 	coldFactor     = 4
 	coldTime       = 3 * time.Second
-	startSpread    = 5 * time.Second
 	ambientFailure = 0.01
 	tickTime       = 10 * time.Millisecond
 	linkDelay      = 40 * time.Millisecond
@@ -108,7 +107,8 @@
 	finalAt                 time.Duration
 }
 
-func newSimulation(seed uint64, duration time.Duration, f fault) *simulation {
+// newSimulation returns a simulation in which the new upstreams start over the given time.
+func newSimulation(seed uint64, duration, startSpread time.Duration, f fault) *simulation {
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 7)), start: start, now: start, scheduled: make(map[time.Time][]func()), byID: make(map[string]*upstream), duration: duration, fault: f}
 	for i := range upstreamCount {
--- a/pkg/shift/shift_test.go
+++ b/pkg/shift/shift_test.go
@@ -1,6 +1,7 @@
 package shift_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -16,6 +17,8 @@
 	exposureSlack = 50
 	rollbackTime  = 5 * time.Second
 	seedCount     = 4
+	// usualSpread is the time over which the new upstreams start.
+	usualSpread = 5 * time.Second
 )
 
 // checkBad asserts the limits on a bad version.
@@ -33,8 +36,11 @@
 	tests := []struct {
 		name  string
 		fault fault
+		// spread is the time over which the new upstreams start; zero means usualSpread.
+		spread time.Duration
 	}{
 		{name: "good"},
+		{name: "good, slow to start", spread: 8 * time.Second},
 		{name: "fails from the start", fault: fault{fails: true}},
 		{name: "fails after 3 s", fault: fault{fails: true, after: 3 * time.Second}},
 		{name: "fails after 6 s", fault: fault{fails: true, after: 6 * time.Second}},
@@ -56,7 +62,7 @@
 				phase = shift.Completed
 			}
 			for seed := range uint64(seedCount) {
-				s := newSimulation(seed, duration, tt.fault)
+				s := newSimulation(seed, duration, cmp.Or(tt.spread, usualSpread), tt.fault)
 				s.run(duration + 3*time.Second)
 				assert.DeepEqual(t, s.finals, []shift.Phase{phase})
 				assert.Assert(t, s.finalAt < duration, "%s ended after %s", tt.name, s.finalAt)
@@ -112,7 +118,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var share, after, end float64
 			for seed := range uint64(seedCount) {
-				s := newSimulation(seed, 12*time.Second, tt.fault)
+				s := newSimulation(seed, 12*time.Second, usualSpread, tt.fault)
 				tt.prepare(s)
 				s.run(18 * time.Second)
 				assert.Assert(t, len(s.finals) > 0, "seed %d", seed)
@@ -193,7 +199,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := newSimulation(1, 12*time.Second, fault{})
+			s := newSimulation(1, 12*time.Second, usualSpread, fault{})
 			s.after(6*time.Second, func() {
 				tt.change(s)
 				s.notify()
