Judge and decide at most every 100 ms at a root

At 87 proxies 174 messages with counts arrive each second, and each caused a judgement and a list of all upstreams. Changes of a second upstream are logged.

--- a/internal/ctrl/proxylog.go
+++ b/internal/ctrl/proxylog.go
@@ -14,6 +14,7 @@
 	lastPlatformStatus cells.PlatformStatus
 	lastReadsPlatform  bool
 	lastUpstream       cells.LocalUpstream
+	lastBeside         cells.LocalUpstream
 	lastNodeCount      int
 	lastStoredRecord   cells.StoredRecord
 }
@@ -22,7 +23,7 @@
 	l := &proxyLog{Proxy: proxy}
 	return board.Controller{
 		Name:   "proxyLog",
-		Reads:  []board.Ref{&proxy.Phase, &proxy.PlatformStatus, &proxy.ReadsPlatform, &proxy.LocalUpstream, &proxy.Roster, &proxy.StoredRecord},
+		Reads:  []board.Ref{&proxy.Phase, &proxy.PlatformStatus, &proxy.ReadsPlatform, &proxy.LocalUpstream, &proxy.BesideUpstream, &proxy.Roster, &proxy.StoredRecord},
 		Writes: []board.Ref{&proxy.LogEvents},
 		Step:   l.step,
 	}
@@ -42,13 +43,8 @@
 		l.lastReadsPlatform = readsPlatform
 		l.emit("readsPlatform", cells.LogField{Name: "reading", Value: readsPlatform})
 	}
-	if upstream := l.LocalUpstream.Get(); upstream.Instance != l.lastUpstream.Instance || upstream.State != l.lastUpstream.State || upstream.Service != l.lastUpstream.Service {
-		l.lastUpstream = upstream
-		l.emit("upstream", cells.LogField{Name: "service", Value: string(upstream.Service)},
-			cells.LogField{Name: "instance", Value: upstream.Instance}, cells.LogField{Name: "state", Value: upstream.State.String()},
-			cells.LogField{Name: "sequence", Value: upstream.Sequence}, cells.LogField{Name: "slots", Value: upstream.Slots},
-			cells.LogField{Name: "address", Value: upstream.Address.String()})
-	}
+	l.logUpstream(l.LocalUpstream.Get(), &l.lastUpstream)
+	l.logUpstream(l.BesideUpstream.Get(), &l.lastBeside)
 	if nodes := l.Roster.Read().Len(); nodes != l.lastNodeCount {
 		l.lastNodeCount = nodes
 		l.emit("nodesKnown", cells.LogField{Name: "nodes", Value: nodes}, cells.LogField{Name: "revision", Value: l.Roster.Read().Revision})
@@ -60,6 +56,18 @@
 	}
 }
 
+// logUpstream logs an upstream if it changed since it was last logged.
+func (l *proxyLog) logUpstream(upstream cells.LocalUpstream, last *cells.LocalUpstream) {
+	if upstream.Instance == last.Instance && upstream.State == last.State && upstream.Service == last.Service {
+		return
+	}
+	*last = upstream
+	l.emit("upstream", cells.LogField{Name: "service", Value: string(upstream.Service)},
+		cells.LogField{Name: "instance", Value: upstream.Instance}, cells.LogField{Name: "state", Value: upstream.State.String()},
+		cells.LogField{Name: "sequence", Value: upstream.Sequence}, cells.LogField{Name: "slots", Value: upstream.Slots},
+		cells.LogField{Name: "address", Value: upstream.Address.String()}, cells.LogField{Name: "release", Value: string(upstream.Release)})
+}
+
 func (l *proxyLog) emit(event string, fields ...cells.LogField) {
 	l.LogEvents.Send(cells.LogEvent{Name: event, Fields: fields})
 }
--- a/internal/ctrl/rolloutdirector.go
+++ b/internal/ctrl/rolloutdirector.go
@@ -38,6 +38,8 @@
 	answeredAt time.Time
 	// loaded is true once all orders were read, and published once that was set.
 	loaded, published bool
+	// directedAt is when statuses were last decided.
+	directedAt time.Time
 	// confirmedAt is when the views were last set.
 	confirmedAt time.Time
 }
@@ -89,7 +91,10 @@
 	for _, o := range outcomes {
 		d.observe(o, now)
 	}
-	d.direct(now)
+	if len(objects) > 0 || now.Sub(d.directedAt) >= directInterval {
+		d.directedAt = now
+		d.direct(now)
+	}
 	d.publish(now)
 }
 
@@ -97,7 +102,7 @@
 func (d *rolloutDirector) setWatch(isRoot bool) {
 	switch {
 	case isRoot && d.orders == nil:
-		d.orders = make(map[mesh.Service]*directedOrder)
+		d.orders, d.loaded, d.published = make(map[mesh.Service]*directedOrder), false, false
 		d.ObjectCommands.Send(cells.ObjectCommand{Action: cells.WatchObjects, Kind: cells.RolloutObjects})
 	case !isRoot && d.orders != nil:
 		d.orders = nil
--- a/pkg/shift/director.go
+++ b/pkg/shift/director.go
@@ -11,6 +11,9 @@
 	// LeaseTime is how long an unchanged status keeps other hosts from taking the lease,
 	// by the clock of the host that wants it.
 	LeaseTime = 2 * time.Second
+	// judgeInterval is the least time between two judgements. Counts arrive more often: one
+	// message from each proxy every 500 ms.
+	judgeInterval = 100 * time.Millisecond
 	// renewInterval is the time between two writes by the holder of the lease.
 	renewInterval = 700 * time.Millisecond
 	// rankDelay is how much longer the second root waits before it takes the lease of a
@@ -87,6 +90,8 @@
 	// stageAt is when the present share was decided.
 	stageAt  time.Time
 	evidence Evidence
+	// judgedAt is when the evidence was last judged.
+	judgedAt time.Time
 	// verdict is why the target is bad; empty if it is not.
 	verdict string
 	// stale is true if the store has an older status than the one in force, or one that
@@ -177,6 +182,14 @@
 		return
 	}
 	d.evidence.Add(now, counts)
+	if now.Sub(d.judgedAt) >= judgeInterval {
+		d.judge(now)
+	}
+}
+
+// judge sets the verdict. It is final.
+func (d *Director) judge(now time.Time) {
+	d.judgedAt = now
 	if d.verdict == "" {
 		d.verdict = d.evidence.Judge(now, d.object.Status.Target)
 	}
@@ -233,6 +246,7 @@
 	if next.Phase == Pending {
 		next.Phase, next.Since, next.Excluded = Running, d.term+1, include(next.Excluded, next.Target)
 	}
+	d.judge(now)
 	elapsed, duration := now.Sub(d.orderedAt), d.object.Order.Duration
 	late := elapsed >= scale(duration, lastPromoteAt)
 	switch {
