Play rollouts with real processes, and count cut responses as failures

TestRollout in the soak test found that a version that cut half of its responses was completed: only errors that a remote node reported were counted. It also found that the outcomes of one root stopped all proxies before the sum was conclusive, so that the order waited for its time limit; they now stop only the proxy itself.

--- a/internal/ctrl/rolloutagent.go
+++ b/internal/ctrl/rolloutagent.go
@@ -163,6 +163,7 @@
 		Revision: a.revision, Loaded: a.loaded, Views: make(map[mesh.Service]shift.View), Trials: make(map[mesh.Service]shift.Trial), Running: make(map[mesh.Service]bool),
 	}
 	for _, v := range a.agent.Views() {
+		v, _ = a.agent.View(v.Service)
 		next.Views[v.Service] = v
 		if v.Status.Phase == shift.Running {
 			next.Running[v.Service] = true
@@ -175,7 +176,7 @@
 }
 
 // sendState sends the state to the subscribers: to new ones, to all when it changed, and
-// when it was confirmed. A halt by the outcomes of this proxy alone goes down as well.
+// when it was confirmed.
 func (a *rolloutAgent) sendState(now time.Time) {
 	views := a.agent.Views()
 	for l, sent := range a.subscribers {
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -32,12 +32,18 @@
 		Name     string `json:"name"`
 		Revision uint64 `json:"revision,omitempty"`
 	} `json:"metadata"`
-	Spec json.RawMessage `json:"spec,omitempty"`
+	Spec   json.RawMessage `json:"spec,omitempty"`
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 func encodeObject(o store.Object) (encoded objectJSON) {
-	_, encoded.Metadata.Name, _ = strings.Cut(o.Key, "/")
-	encoded.Metadata.Revision, encoded.Spec = o.Version, o.Value
+	kind, name, _ := strings.Cut(o.Key, "/")
+	if kind == "rollouts" {
+		encoded = decodeRollout(o.Value)
+	} else {
+		encoded.Spec = o.Value
+	}
+	encoded.Metadata.Name, encoded.Metadata.Revision = name, o.Version
 	return encoded
 }
 
@@ -55,6 +61,7 @@
 	mux.HandleFunc("POST /objects/{kind}", p.create)
 	mux.HandleFunc("GET /objects/{kind}/{name}", p.get)
 	mux.HandleFunc("PUT /objects/{kind}/{name}", p.update)
+	mux.HandleFunc("PUT /objects/{kind}/{name}/status", p.updateStatus)
 	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.remove)
 	p.server, p.address = serveHTTP(t, "127.0.0.1:0", mux)
 	return p
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -35,6 +35,8 @@
 	node     *node
 	recorder *recorder
 	address  string
+	// version is the version of its software; empty if it reports none.
+	version string
 
 	mutex sync.Mutex
 	// instance is nil while nothing runs at the address.
@@ -79,7 +81,7 @@
 	defer u.mutex.Unlock()
 	u.serial++
 	inst := &instance{
-		name: fmt.Sprintf("i-%s-%d", u.node.host, u.serial), service: service, startedAt: time.Now(), state: "ready",
+		name: fmt.Sprintf("i-%s%s-%d", u.node.host, u.version, u.serial), service: service, startedAt: time.Now(), state: "ready",
 		slowdown: 1, stopReports: make(chan struct{}),
 	}
 	inst.server, _ = serveHTTP(t, u.address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { u.serve(inst, w, r) }))
@@ -131,8 +133,9 @@
 		Status  any    `json:"status"`
 	}{u.address, inst.startedAt.UnixMilli(), struct {
 		Service string `json:"service"`
+		Version string `json:"version,omitempty"`
 		Slots   int    `json:"slots"`
-	}{inst.service, slotsPerInstance}, struct {
+	}{inst.service, u.version, slotsPerInstance}, struct {
 		State    string `json:"state"`
 		Sequence uint64 `json:"sequence"`
 	}{state, inst.sequence}})
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -100,6 +100,17 @@
 	o.tally.update(o.rs, func(counts shift.Counts) { counts.RecordLate(o.key) })
 }
 
+// isNodeFailure reports whether a call failed at the node of the host or on the way there,
+// which says nothing about the upstream.
+func isNodeFailure(reason string) bool {
+	switch reason {
+	case peer.ReasonDialFailed, peer.ReasonSessionLost, peer.ReasonSessionSilent, peer.ReasonDraining, peer.ReasonTooManyCalls,
+		peer.ReasonNoHandler, peer.ReasonWrongCall, peer.ReasonRequestBody, peer.ReasonCanceled:
+		return true
+	}
+	return false
+}
+
 // end counts the outcome. A request that did not run says nothing about the release,
 // unless the upstream refused it although it had room.
 func (o *attemptObserver) end(ctx context.Context, reply *peer.Reply, callErr *peer.CallError) {
@@ -121,11 +132,10 @@
 			o.recordLate()
 		}
 		return
-	case callErr.FromRemote || callErr.Reason == peer.ReasonProtocol:
-		outcome.Failed = true
-	default:
-		// The node of the host did not answer, which says nothing about its upstream.
+	case isNodeFailure(callErr.Reason):
 		return
+	default:
+		outcome.Failed = true
 	}
 	o.tally.update(o.rs, func(counts shift.Counts) { counts.Record(o.key, outcome) })
 }
--- a/internal/steer/rollout_test.go
+++ b/internal/steer/rollout_test.go
@@ -74,8 +74,8 @@
 		status int
 	}{
 		{name: "error response, retried at the old release", first: callResult{status: 500}, want: shift.Count{Responses: 1, Failures: 1}, status: 200},
-		{name: "no response of the upstream", first: callResult{callErr: &peer.CallError{Outcome: peer.Unknown, Reason: "upstream-reset", FromRemote: true}}, want: shift.Count{Responses: 1, Failures: 1}, status: 200},
-		{name: "response cut off", first: unknown(peer.ReasonProtocol), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
+		{name: "no response of the upstream", first: unknown(serve.ReasonLost), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
+		{name: "response cut off", first: unknown(peer.ReasonTruncated), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
 		{name: "no response of the host", first: unknown(peer.ReasonSessionLost), status: 200},
 		{name: "refused by the upstream", first: notRun(serve.ReasonRefused), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
 		{name: "full", first: notRun("gate-late"), status: 200},
--- a/pkg/shift/agent.go
+++ b/pkg/shift/agent.go
@@ -24,6 +24,9 @@
 	// heardAt is when the view was last confirmed.
 	heardAt time.Time
 	own     Evidence
+	// stopped is true once the own outcomes showed that the target is bad. It is not passed
+	// on: the few outcomes of one proxy must not end the trial for all.
+	stopped bool
 }
 
 // Learn takes a view that a root confirmed at the given time. changed is true if it differs from what was
@@ -46,7 +49,7 @@
 	}
 	sameTrial := view.Status.Target == e.view.Status.Target && view.Status.Since == e.view.Status.Since && !e.view.Status.Phase.Final()
 	if !sameTrial {
-		e.own = Evidence{}
+		e.own, e.stopped = Evidence{}, false
 	}
 	view.Halted = view.Halted || e.view.Halted && sameTrial && !view.Status.Phase.Final()
 	changed = view.Status.Term != e.view.Status.Term || view.Halted != e.view.Halted
@@ -62,16 +65,15 @@
 		return ""
 	}
 	e.own.Add(now, counts)
-	if e.view.Halted {
+	if e.view.Halted || e.stopped {
 		return ""
 	}
-	if reason = e.own.Judge(now, e.view.Status.Target); reason != "" {
-		e.view.Halted = true
-	}
+	reason = e.own.Judge(now, e.view.Status.Target)
+	e.stopped = reason != ""
 	return reason
 }
 
-// Views lists the views in force, sorted by service.
+// Views lists the views as received, sorted by service.
 func (a *Agent) Views() (views []View) {
 	for _, service := range sortedKeys(a.entries) {
 		views = append(views, a.entries[service].view)
@@ -79,19 +81,22 @@
 	return views
 }
 
-// View returns the view of a service; known is false if there is none.
+// View returns the view of a service that is in force here; known is false if there is
+// none.
 func (a *Agent) View(service mesh.Service) (view View, known bool) {
 	e := a.entries[service]
 	if e == nil {
 		return view, false
 	}
-	return e.view, true
+	view = e.view
+	view.Halted = view.Halted || e.stopped && !view.Status.Phase.Final()
+	return view, true
 }
 
 // Trial returns the trial of a service until the given time, if there is one.
 func (a *Agent) Trial(service mesh.Service) (trial Trial) {
 	e := a.entries[service]
-	if e == nil || e.view.Halted || e.view.Status.Phase != Running {
+	if e == nil || e.view.Halted || e.stopped || e.view.Status.Phase != Running {
 		return trial
 	}
 	return Trial{Share: e.view.Status.Share, RouteShares: e.view.Status.RouteShares, Canaries: e.view.Status.Canaries, Until: e.heardAt.Add(ViewTTL)}
