--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -21,6 +21,7 @@
 	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/plan"
+	"arbutusstep.example/arbutusstep/pkg/shift"
 )
 
 // simStep is the interval at which the boards of the simulated proxies run.
@@ -61,6 +62,24 @@
 	return node.(fleet.Node), nil
 }
 
+// DecodeRollout decodes an order for orders, which consists of the target.
+func (testCodec) DecodeRollout(name string, data []byte) (object shift.Object, statusErr, err error) {
+	stored, found := testRollouts.Load(string(data))
+	if !found {
+		return object, nil, errors.New("unreadable")
+	}
+	return stored.(shift.Object), nil, nil
+}
+
+// testRollouts contains the written orders by their encoding.
+var testRollouts sync.Map
+
+func encodeRollout(o shift.Object) []byte {
+	key := fmt.Sprintf("%+v", o)
+	testRollouts.Store(key, o)
+	return []byte(key)
+}
+
 func (testCodec) Compress(data, _ []byte) ([]byte, error)         { return data, nil }
 func (testCodec) Decompress(compressed, _ []byte) ([]byte, error) { return compressed, nil }
 
@@ -120,6 +139,12 @@
 	// hosts that are not listed, the instance that sends the reports answers.
 	healthInstances map[mesh.HostID]string
 	simRevocation
+	// onStart is called for each new process before its controllers are added. It may be
+	// nil.
+	onStart func(p *simProxy)
+	// holds reports whether the platform does not answer the watch of a proxy yet. It may
+	// be nil.
+	holds func(p *simProxy, kind cells.ObjectKind) bool
 }
 
 func newSim(t *testing.T, hosts int) *sim {
@@ -181,6 +206,9 @@
 	}
 	p.cells.LogEvents.Handle = func(cells.LogEvent) {}
 	p.cells.MetricsTicks.Handle = func(time.Time) {}
+	if s.onStart != nil {
+		s.onStart(p)
+	}
 	AddProxy(&p.board, p.cells, s.codec(), &p.simClock, rand.NewPCG(1, uint64(len(host))))
 	s.proxies = append(s.proxies, p)
 	return p
@@ -281,13 +309,18 @@
 	case s.platformUnreachable(p):
 		event.Result, event.Err = cells.StoreFailed, errors.New("unreachable")
 	default:
-		stored := s.objects[c.Kind][string(c.Host)]
+		stored := s.objects[c.Kind][string(c.Host)+string(c.Service)]
 		switch {
 		case stored.Version != c.Version:
 			event.Result, event.Current = cells.StoreConflict, stored
 			if stored.Version == 0 {
 				event.Current = cells.Object{Name: string(c.Host), Version: c.Version, Deleted: true}
 			}
+		case c.Action == cells.PutStatus:
+			object, _ := testRollouts.Load(string(stored.Value))
+			next := object.(shift.Object)
+			next.Status = c.Status
+			event.Current = s.write(c.Kind, string(c.Service), encodeRollout(next))
 		case c.Action == cells.DeleteRecord:
 			s.remove(c.Kind, string(c.Host))
 			event.Current = cells.Object{Name: string(c.Host), Version: s.revision, Deleted: true}
@@ -302,7 +335,8 @@
 func (s *sim) deliverChanges() {
 	for _, p := range s.proxies {
 		for kind, revision := range p.watched {
-			if s.platformUnreachable(p) || revision == s.revision || s.simulatesCalls(kind) {
+			held := s.simulatesCalls(kind) || s.holds != nil && s.holds(p, kind)
+			if s.platformUnreachable(p) || revision == s.revision || held {
 				continue
 			}
 			event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: revision == 0, Revision: s.revision, RTT: nearRTT}
--- a/internal/ctrl/publisher.go
+++ b/internal/ctrl/publisher.go
@@ -62,7 +62,7 @@
 	return board.Controller{
 		Name:   "publisher",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ActiveVersion, &proxy.Roster, &proxy.Freshness, &p.alarm},
-		Uses:   []board.Ref{&proxy.Self},
+		Uses:   []board.Ref{&proxy.Self, &proxy.Rollouts},
 		Writes: []board.Ref{&proxy.LinkCommands, &proxy.LogEvents, &p.alarm},
 		Step:   p.step,
 	}
@@ -173,7 +173,7 @@
 	if s.rosterPosition >= 0 {
 		hosts, known = roster.ChangedSince(s.rosterPosition)
 	}
-	message := ctlmsg.Roster{Revision: roster.Revision, Complete: !known}
+	message := ctlmsg.Roster{Revision: roster.Revision, Complete: !known, HasRollouts: p.Rollouts.Get().Loaded}
 	if !known {
 		hosts = roster.Hosts()
 	}
--- a/internal/ctrl/tokensource_test.go
+++ b/internal/ctrl/tokensource_test.go
@@ -8,14 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
-	"arbutusstep.example/arbutusstep/internal/ctlmsg"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
-// probeInterval is the interval at which proxies report to the parent from which they get
-// their tokens.
-const probeInterval = 500 * time.Millisecond
-
 // enforceQuotas turns quotas on at all proxies.
 func (s *sim) enforceQuotas() {
 	for _, p := range s.proxies {
@@ -25,26 +20,16 @@
 	}
 }
 
-// advanceWithProbes runs the simulation, sends probes, and checks in each step that all
-// owners together fill their buckets at no more than the full rate.
-func (s *sim) advanceWithProbes(d time.Duration) {
+// advanceWithQuotas runs the simulation and checks in each step that all owners together
+// fill their buckets at no more than the full rate.
+func (s *sim) advanceWithQuotas(d time.Duration) {
 	for end := s.now.Add(d); s.now.Before(end); {
-		for next := s.now.Add(probeInterval); s.now.Before(next); {
-			s.advance(simStep)
-			total := 0.0
-			for _, p := range s.proxies {
-				total += p.cells.TokenSource.Load().Share
-			}
-			assert.Assert(s.t, total <= 1.001, "shares add up to %.3f", total)
-		}
-		for _, l := range s.links {
-			source := l.dialer.cells.TokenSource.Load()
-			if source.Host == l.acceptor.host && !l.silent && slices.Contains(s.proxies, l.dialer) {
-				l.acceptor.cells.LinkEvents.Post(cells.LinkEvent{Link: l.id, Kind: cells.LinkMessage, Message: ctlmsg.Probe{
-					SentAt: s.now.Sub(l.dialer.cells.Self.Load().StartedAt) + time.Hour, Nodes: source.Nodes,
-				}})
-			}
+		s.advance(simStep)
+		total := 0.0
+		for _, p := range s.proxies {
+			total += p.cells.TokenSource.Load().Share
 		}
+		assert.Assert(s.t, total <= 1.001, "shares add up to %.3f", total)
 	}
 }
 
@@ -95,18 +80,18 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := newSim(t, tt.proxies)
 			s.enforceQuotas()
-			s.advanceWithProbes(12 * time.Second)
+			s.advanceWithQuotas(12 * time.Second)
 			before, share := s.owners()
 			assert.Equal(t, len(before), 1, "%v", before)
 			assert.Assert(t, share > 0.999, "%.3f", share)
 			owner := s.proxies[slices.IndexFunc(s.proxies, func(p *simProxy) bool { return p.host == before[0] })]
 			tt.fail(s, owner)
-			s.advanceWithProbes(4 * time.Second)
+			s.advanceWithQuotas(4 * time.Second)
 			during, share := s.owners()
 			assert.Equal(t, len(during), 1, "%v", during)
 			assert.Assert(t, share >= float64(tt.proxies-1)/float64(tt.proxies)-0.001, "%.3f", share)
 			tt.recover(s, owner)
-			s.advanceWithProbes(10 * time.Second)
+			s.advanceWithQuotas(10 * time.Second)
 			after, share := s.owners()
 			assert.Equal(t, len(after), 1, "%v", after)
 			assert.Assert(t, share >= float64(tt.proxies-1)/float64(tt.proxies)-0.001, "%.3f", share)
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -16,6 +16,7 @@
 	"arbutusstep.example/arbutusstep/internal/repo"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/store"
+	"arbutusstep.example/arbutusstep/pkg/shift"
 	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
@@ -40,6 +41,12 @@
 	// versionWatchDelay is the delay before the next watch after a version arrived. Of
 	// several versions in quick succession, only some are then read and passed on.
 	versionWatchDelay = 300 * time.Millisecond
+	// rolloutWatchDelay is the delay before the next watch after a rollout changed. Its
+	// holder alone writes more than once a second.
+	rolloutWatchDelay = 100 * time.Millisecond
+	// unknownKindDelay is the delay before rollouts are listed again at a platform that
+	// does not have this kind.
+	unknownKindDelay = 10 * time.Second
 )
 
 // ObjectStore is the client of the platform's object store.
@@ -48,6 +55,7 @@
 	Watch(ctx context.Context, prefix string, from uint64) ([]store.Event, uint64, error)
 	Create(ctx context.Context, key string, value []byte) (store.Object, error)
 	Update(ctx context.Context, key string, value []byte, version uint64) (store.Object, error)
+	UpdateStatus(ctx context.Context, key string, status []byte, version uint64) (store.Object, error)
 	Delete(ctx context.Context, key string, version uint64) error
 }
 
@@ -67,6 +75,10 @@
 // Kinds holds the names of the object kinds in the platform.
 type Kinds struct {
 	Versions, Records string
+	// Rollouts is empty if the platform has no rollouts.
+	Rollouts string
+	// EncodeStatus encodes the status of a rollout. It may be nil if Rollouts is empty.
+	EncodeStatus func(status shift.Status) ([]byte, error)
 }
 
 // Driver executes the commands of the controllers. It is created by New.
@@ -133,8 +145,12 @@
 }
 
 func (d *Driver) prefix(kind cells.ObjectKind) string {
-	if kind == cells.VersionObjects {
+	switch kind {
+	case cells.VersionObjects:
 		return d.kinds.Versions + "/"
+	case cells.RolloutObjects:
+		return d.kinds.Rollouts + "/"
+	case cells.RecordObjects:
 	}
 	return d.kinds.Records + "/"
 }
@@ -173,6 +189,12 @@
 			listed = false
 			continue
 		}
+		if kind == cells.RolloutObjects && errors.Is(err, store.ErrNotFound) {
+			listed = false
+			// The loop condition checks the context.
+			_ = pause.For(ctx, unknownKindDelay)
+			continue
+		}
 		d.post(cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Result: repo.ClassifyError(err), Err: err})
 		// The loop condition checks the context.
 		_ = backoff.Wait(ctx)
@@ -183,11 +205,14 @@
 // one call. A watch of versions without a change is repeated immediately.
 func (d *Driver) delayNextWatch(ctx context.Context, kind cells.ObjectKind, changes int) {
 	wait := recordWatchDelay
-	if kind == cells.VersionObjects {
+	switch {
+	case kind == cells.RecordObjects:
+	case changes == 0:
+		return
+	case kind == cells.VersionObjects:
 		wait = versionWatchDelay
-		if changes == 0 {
-			return
-		}
+	default:
+		wait = rolloutWatchDelay
 	}
 	// The loop condition of the caller checks the context.
 	_ = pause.For(ctx, wait)
@@ -246,7 +271,7 @@
 	case errors.As(err, &conflict) && conflict.HasCurrent:
 		event.Current = newObject(conflict.Current, false)
 	case errors.Is(err, store.ErrNotFound):
-		event.Current = cells.Object{Name: string(command.Host), Version: max(1, command.Version), Deleted: true}
+		event.Current = cells.Object{Name: objectName(command), Version: max(1, command.Version), Deleted: true}
 	}
 	event.Result, event.Err = repo.ClassifyError(err), err
 	d.post(event)
@@ -255,10 +280,13 @@
 func (d *Driver) execute(ctx context.Context, command cells.ObjectCommand) (current cells.Object, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("write record of %s: %w", command.Host, err)
+			err = fmt.Errorf("write %s: %w", objectName(command), err)
 		}
 	}()
-	key := d.prefix(command.Kind) + string(command.Host)
+	key := d.prefix(command.Kind) + objectName(command)
+	if command.Action == cells.PutStatus {
+		return d.putStatus(ctx, key, command)
+	}
 	if command.Action == cells.DeleteRecord {
 		if err = d.store.Delete(ctx, key, command.Version); err != nil {
 			return current, err
@@ -280,3 +308,24 @@
 	}
 	return newObject(written, false), nil
 }
+
+// putStatus replaces the status of a rollout.
+func (d *Driver) putStatus(ctx context.Context, key string, command cells.ObjectCommand) (current cells.Object, err error) {
+	status, err := d.kinds.EncodeStatus(command.Status)
+	if err != nil {
+		return current, err
+	}
+	written, err := d.store.UpdateStatus(store.WithUrgency(ctx), key, status, command.Version)
+	if err != nil {
+		return current, err
+	}
+	return newObject(written, false), nil
+}
+
+// objectName returns the name of the object that a command changes.
+func objectName(command cells.ObjectCommand) string {
+	if command.Action == cells.PutStatus {
+		return string(command.Service)
+	}
+	return string(command.Host)
+}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -11,16 +11,9 @@
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/conf"
-	"arbutusstep.example/arbutusstep/internal/serve"
-	"arbutusstep.example/arbutusstep/pkg/gate"
-	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
-// floors is the percentage of the gate's slots that is reserved for each priority
-// under full load.
-var floors = [mesh.NumPriorities]int{mesh.Low: 5, mesh.Normal: 5, mesh.High: 10}
-
 // applySnapshot configures the gate and the call handler by the new snapshot. It runs
 // on the control thread.
 func (p *Proxy) applySnapshot(mesh.Version) {
@@ -29,33 +22,10 @@
 		p.snapshotReadyClosed = true
 		close(p.snapshotReady)
 	}
-	upstream := snapshot.LocalUpstream
-	if upstream.Slots > 0 && upstream.Slots != p.gateSlots {
-		p.gateSlots = upstream.Slots
-		p.gate.Configure(gate.Config{Slots: upstream.Slots, Floors: floors, FixedLimit: true, PredictWait: true})
-	}
-	target := serve.Target{Instance: upstream.Instance, Service: upstream.Service}
-	service, _ := snapshot.Plan.Service(upstream.Service)
-	target.MaxConnections = service.MaxConnections
-	switch upstream.State {
-	case member.Ready, member.Warming:
-		target.Address = upstream.Address
-	case member.Draining, member.Left:
-		target.Address, target.AdmitUntil = upstream.Address, snapshot.AdmitUntil
-	case member.Lost:
-	}
-	if upstream.Instance == "" {
-		target = serve.Target{}
-	}
-	p.handler.SetTarget(target)
+	p.applyUpstreams(&snapshot)
 	p.quotas.Apply(snapshot)
 }
 
-// reportUnreachable tells the control thread that connections to the upstream fail.
-func (p *Proxy) reportUnreachable() {
-	p.cells.UnreachableInstances.Post(p.cells.Snapshot.Load().LocalUpstream.Instance)
-}
-
 // readiness tracks the readiness checks of the platform.
 type readiness struct {
 	// failures is the number of consecutive checks that were answered with not ready.
@@ -103,6 +73,8 @@
 	Nodes             int          `json:"nodes"`
 	Upstream          string       `json:"upstream,omitempty"`
 	State             string       `json:"state,omitempty"`
+	Beside            string       `json:"beside,omitempty"`
+	BesideState       string       `json:"besideState,omitempty"`
 	Running           int          `json:"running"`
 	Waiting           int          `json:"waiting"`
 	Slots             int          `json:"slots"`
@@ -112,7 +84,13 @@
 // Status returns the current state.
 func (p *Proxy) Status() Status {
 	active, snapshot, load := p.cells.ActiveVersion.Load(), p.cells.Snapshot.Load(), p.gate.Load()
+	beside := snapshot.BesideUpstream
+	besideState := ""
+	if beside.Instance != "" {
+		besideState = beside.State.String()
+	}
 	return Status{
+		Beside: beside.Instance, BesideState: besideState,
 		Host: p.settings.Load().Host, Phase: string(p.cells.Phase.Load()), Version: active.Plan.Version(), Since: active.Since,
 		Source: active.Source, Reason: active.RefusalReason, RefusedVersion: active.RefusedVersion, ReadsPlatform: p.cells.ReadsPlatform.Load(), PlatformReachable: p.cells.PlatformStatus.Load().Reachable,
 		Nodes: snapshot.NodeCount, Upstream: snapshot.LocalUpstream.Instance, State: snapshot.LocalUpstream.State.String(),
@@ -173,6 +151,7 @@
 	for _, g := range slices.Concat(gauges, p.quotaGauges()) {
 		p.metrics.Scope.Gauge(g.name).Update(g.value)
 	}
+	p.updateRolloutGauges()
 }
 
 // asNumber returns 1 for true and 0 for false.
--- a/pkg/fleet/tree.go
+++ b/pkg/fleet/tree.go
@@ -128,6 +128,11 @@
 	return t.depths[parents[0].Host] + 1
 }
 
+// RootRank returns the rank of a root among the roots, from zero; -1 if the host is none.
+func (t *Tree) RootRank(host mesh.HostID) int {
+	return slices.IndexFunc(t.roots, func(n Node) bool { return n.Host == host })
+}
+
 // IsReader reports whether other nodes may receive from the host.
 func (t *Tree) IsReader(host mesh.HostID) bool {
 	_, isReader := t.depths[host]
