Choose upstreams at random by free slots, speed and cost

All callers took the host of the lowest cost by reports that were older than the requests they described: a host without a report counted as empty, and the fastest hosts were preferred until they queued. Late responses of long requests outweighed all differences of load.

PickCheapest now estimates the load of each host from its last report, the mean of the service and the caller's own requests, and chooses by weight. A request that no host is expected to accept is sent to no further one, or to none, and ends with AllBusyError.

--- a/pkg/pick/candidate_set.go
+++ b/pkg/pick/candidate_set.go
@@ -107,16 +107,25 @@
 
 // Find returns the candidate of the host.
 func (s *CandidateSet) Find(host mesh.HostID) (candidate Candidate, found bool) {
-	if s == nil {
+	i, found := s.index(host)
+	if !found {
 		return candidate, false
 	}
+	return s.candidates[i], true
+}
+
+// index returns the index of the host in candidates.
+func (s *CandidateSet) index(host mesh.HostID) (index int, found bool) {
+	if s == nil {
+		return 0, false
+	}
 	i, found := slices.BinarySearchFunc(s.byHost, host, func(index int, h mesh.HostID) int {
 		return cmp.Compare(s.candidates[index].Host, h)
 	})
 	if !found {
-		return candidate, false
+		return 0, false
 	}
-	return s.candidates[s.byHost[i]], true
+	return s.byHost[i], true
 }
 
 // ShardOwner returns the host that owns the shard by rendezvous hashing: when hosts
--- a/pkg/pick/cost.go
+++ b/pkg/pick/cost.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"arbutusstep.example/arbutusstep/pkg/mesh"
@@ -29,9 +28,6 @@
 	defaultServiceTime = 100 * time.Millisecond
 	// networkLatencyGain is the weight of a new sample in the network latency of a host.
 	networkLatencyGain = 0.2
-	// costJitter is the maximum random increase of a cost, as a fraction of it. It keeps
-	// nodes with the same statistics from choosing the same host.
-	costJitter = 0.15
 	// coldServiceTimeRatio is the minimum service-time ratio assumed of an upstream that
 	// has just started.
 	coldServiceTimeRatio = 2
@@ -64,6 +60,8 @@
 	// LargeResponse is true when a large response is expected, which waits for the
 	// network link of its host.
 	LargeResponse bool
+	// Admission is what the admission gates decide by.
+	Admission Admission
 	// CallerNodes is the number of nodes that send requests to the same hosts; zero
 	// counts as one.
 	CallerNodes int
@@ -82,85 +80,63 @@
 	ExpectedServiceTime time.Duration
 }
 
-// PickCheapest returns the upstream with the lowest cost and its expected latency.
-// The error is a *NoUpstreamError when every upstream has been tried.
+// PickCheapest returns an upstream and its expected latency. Of the upstreams with low
+// cost, it chooses at random, the more often the more free capacity one has: many
+// callers choose among the same upstreams by outdated reports, and the one of lowest cost
+// would be chosen by all. The error is a *NoUpstreamError when every upstream has been
+// tried, and an *AllBusyError when all that are left are expected to refuse the request.
 func (p *Picker) PickCheapest(now time.Time, request CostRequest) (candidate Candidate, expected time.Duration, err error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	v := p.view(now, request.Set)
-	best, lowest, bestAvailable := -1, math.Inf(1), false
-	meanFailureRate := v.meanFailureRate()
-	for i := range v.hosts {
-		c, h := &request.Set.candidates[i], v.hosts[i]
-		if slices.Contains(request.Tried, c.Host) {
-			continue
-		}
-		available := h.available(now)
-		if bestAvailable && !available {
-			continue
-		}
-		cost := p.cost(now, c, h, &request, meanFailureRate) * (1 + costJitter*float64(p.intN(probabilityScale))/probabilityScale)
-		if best < 0 || available && !bestAvailable || cost < lowest {
-			best, lowest, bestAvailable = i, cost, bestAvailable || available
-		}
+	c := p.newChoice(now, request, false)
+	refused, left := c.excludeBusy()
+	c.applyCosts()
+	chosen := c.sample(p.intN)
+	if left && chosen == nil {
+		// Those that were left out of a large set may include the only available ones.
+		c = p.newChoice(now, request, true)
+		refused, left = c.excludeBusy()
+		c.applyCosts()
+		chosen = c.sample(p.intN)
 	}
-	if best < 0 {
+	switch {
+	case !left:
+		return candidate, 0, &AllBusyError{Service: request.Set.ID(), Refused: refused}
+	case chosen == nil:
 		return candidate, 0, &NoUpstreamError{Service: request.Set.ID(), Known: len(request.Set.Candidates()), Tried: len(request.Tried)}
 	}
-	c, h := &request.Set.candidates[best], v.hosts[best]
-	return *c, time.Duration(p.expectedLatency(now, c, h, &request, meanFailureRate)), nil
+	return request.Set.candidates[chosen.index], time.Duration(chosen.latency), nil
 }
 
-// cost returns the expected latency plus the cost of distance, in nanoseconds.
-func (p *Picker) cost(now time.Time, c *Candidate, h *hostState, request *CostRequest, meanFailureRate float64) float64 {
-	cost := p.expectedLatency(now, c, h, request, meanFailureRate)
-	switch {
-	case c.Host == request.FromHost:
-	case c.Place == request.From:
-		cost += float64(request.DistanceCosts.Host)
-	case c.Place.Region == request.From.Region:
-		cost += float64(request.DistanceCosts.Zone)
-	default:
-		cost += float64(request.DistanceCosts.Region)
+// extraLatency returns the part of the expected latency that depends neither on the load
+// nor on recent lateness, in nanoseconds: the network latency and the cost of likely
+// failures. A host without failure samples is assumed to fail at the mean
+// rate of the others.
+func (h *hostState) extraLatency(meanFailureRate float64) float64 {
+	failureRate := h.failureRate
+	if !h.hasFailureRate {
+		failureRate = meanFailureRate
 	}
-	return cost
+	return h.networkLatency + failureRate*float64(failureCost)
 }
 
-// expectedLatency returns the expected time until the response, in nanoseconds: the
-// service time at this host, the wait for a slot, the network latency, the cost of
-// likely failures, the recent lateness of responses and, for a large response, the
-// wait for the link of the host. A host without failure samples is assumed to fail
-// at the mean rate of the others.
-func (p *Picker) expectedLatency(now time.Time, c *Candidate, h *hostState, request *CostRequest, meanFailureRate float64) float64 {
-	serviceTime := float64(defaultServiceTime)
-	if typical := p.typicalServiceTimes[request.Class]; typical > 0 {
-		serviceTime = typical
+// assumedServiceTime returns the typical service time of the class in nanoseconds, or
+// the default if there are no samples.
+func (p *Picker) assumedServiceTime(class string) float64 {
+	if typical := p.typicalServiceTimes[class]; typical > 0 {
+		return typical
 	}
-	ratio := h.decayedServiceTimeRatio(now)
+	return float64(defaultServiceTime)
+}
+
+// assumedServiceTimeRatio returns the service-time ratio of the host, which is at least
+// coldServiceTimeRatio for an upstream that has just started.
+func (h *hostState) assumedServiceTimeRatio(now time.Time, c *Candidate) (ratio float64) {
+	ratio = h.decayedServiceTimeRatio(now)
 	if !c.ReadySince.IsZero() && now.Sub(c.ReadySince) < coldStartTime {
 		ratio = max(ratio, coldServiceTimeRatio)
 	}
-	slots := float64(max(c.Slots, 1))
-	// The reported load includes the requests of this node that were in flight at that
-	// time.
-	usedSlots := max(h.decayedLatestLoad(now)*slots+float64(h.inFlight-h.inFlightAtReport), float64(h.inFlight))
-	if now.Sub(h.reportedAt) >= loadReportTTL {
-		// Without a recent report, the other nodes are assumed to send as many requests to
-		// the host as this node does, since they compute the same cost.
-		usedSlots = float64(h.inFlight * max(request.CallerNodes, 1))
-	}
-	wait := max(0, usedSlots+1-slots) / slots
-	// A nearly full host responds more slowly and leaves no room for other callers.
-	slowdown := usedSlots / slots * fullHostSlowdown
-	failureRate := h.failureRate
-	if !h.hasFailureRate {
-		failureRate = meanFailureRate
-	}
-	latency := serviceTime*ratio*(1+wait+slowdown) + h.networkLatency + failureRate*float64(failureCost) + h.lateness[latenessIndex(request.LargeResponse)].penalty(now)
-	if request.LargeResponse {
-		latency += h.linkWait(now)
-	}
-	return latency
+	return ratio
 }
 
 // latenessIndex returns the index in hostState.lateness for small or large
@@ -182,18 +158,6 @@
 	h.hasFailureRate = true
 }
 
-// meanFailureRate returns the mean failure rate of the hosts that have samples.
-func (v *view) meanFailureRate() float64 {
-	sum, samples := 0.0, 0
-	for _, h := range v.hosts {
-		if h.hasFailureRate {
-			sum += h.failureRate
-			samples++
-		}
-	}
-	return sum / float64(max(samples, 1))
-}
-
 // MarkUnreachable records that the node of the host does not respond; the host is
 // then chosen only when no other is left. first is false if it was already marked.
 // The caller has to check when the node responds again and call MarkReachable.
@@ -248,21 +212,8 @@
 	outlierFactor = 2
 	// coldStartTime is how long an upstream counts as just started.
 	coldStartTime = 4 * time.Second
-	// fullHostSlowdown is the fraction of the service time by which requests to a fully
-	// used host are assumed to take longer.
-	fullHostSlowdown = 0.25
 )
 
-// decayedLatestLoad returns the most recent reported load, reduced linearly with its
-// age.
-func (h *hostState) decayedLatestLoad(now time.Time) float64 {
-	age := now.Sub(h.reportedAt)
-	if age >= loadReportTTL {
-		return 0
-	}
-	return h.latestLoad * (1 - float64(age)/float64(loadReportTTL))
-}
-
 // updateCost records the outcome of an attempt in the statistics for PickCheapest.
 func (h *hostState) updateCost(now time.Time, p *Picker, o Outcome) {
 	if o.Shed || !o.NotRun && !o.Busy {
--- a/pkg/pick/host.go
+++ b/pkg/pick/host.go
@@ -45,17 +45,33 @@
 )
 
 // hostState holds the statistics that this node keeps of one upstream host. It is
-// guarded by the mutex of the Picker.
+// guarded by the mutex of the Picker. The fields that PickCheapest reads of every host
+// come first, so that they share cache lines.
 type hostState struct {
+	// meanLoad is the moving mean of the reported loads, as a fraction of the limit,
+	// at reportedAt.
+	meanLoad   float64
+	reportedAt time.Time
+	// latestLoad is the most recent reported load, as a fraction of the limit.
+	latestLoad float64
+	// inFlightAtReport is the value of inFlight when latestLoad was received.
+	inFlightAtReport int
+	// failureRate is the moving mean of the fraction of requests that the upstream
+	// failed or refused.
+	failureRate float64
+	// hasFailureRate is true once failureRate has a sample.
+	hasFailureRate bool
+	// unreachable is true while the node of the host does not respond.
+	unreachable bool
+	// serviceTimeRatio is the moving mean of the ratio of service times at the host to
+	// typical ones, zero before the first sample. networkLatency is the moving mean of
+	// the time outside the node of the host, in nanoseconds.
+	serviceTimeRatio, networkLatency float64
 	// inFlight is the number of attempts that have begun and not ended.
 	inFlight int
 	// views is the number of views that include the host. The state is deleted when it,
 	// inFlight and unreachable are all zero.
 	views int
-	// meanLoad is the moving mean of the reported loads, as a fraction of the limit,
-	// at reportedAt.
-	meanLoad   float64
-	reportedAt time.Time
 	// backoffUntil is the end of the time for which the host asked not to receive
 	// requests.
 	backoffUntil time.Time
@@ -77,10 +93,6 @@
 	// the number of its samples, counted up to minLatencySamples.
 	meanLatency    float64
 	latencySamples int
-	// serviceTimeRatio is the moving mean of the ratio of service times at the host to
-	// typical ones, zero before the first sample. networkLatency is the moving mean of
-	// the time outside the node of the host, in nanoseconds.
-	serviceTimeRatio, networkLatency float64
 	// serviceTimeRatioAt is when serviceTimeRatio was last updated.
 	serviceTimeRatioAt time.Time
 	// lateness holds the lateness of small and large responses, indexed by
@@ -90,17 +102,8 @@
 	// linkWaitAt.
 	reportedLinkWait time.Duration
 	linkWaitAt       time.Time
-	// unreachable is true while the node of the host does not respond.
-	unreachable bool
-	// failureRate is the moving mean of the fraction of requests that the upstream
-	// failed or refused.
-	failureRate float64
-	// hasFailureRate is true once failureRate has a sample.
-	hasFailureRate bool
-	// latestLoad is the most recent reported load, as a fraction of the limit.
-	latestLoad float64
-	// inFlightAtReport is the value of inFlight when latestLoad was received.
-	inFlightAtReport int
+	// lastRefusal is the last refusal by the gate or for the link of the host.
+	lastRefusal refusal
 	// slowSince is when the host was first found slow, zero while it is not slow.
 	slowSince time.Time
 }
@@ -144,6 +147,9 @@
 	h.inFlight--
 	if o.Busy {
 		h.recordLoad(now, o.LoadPercent)
+		if !o.Shed {
+			h.lastRefusal = refusal{admission: o.Admission, at: now}
+		}
 		return
 	}
 	if o.RetryAfter > 0 {
--- a/pkg/pick/picker.go
+++ b/pkg/pick/picker.go
@@ -51,6 +51,8 @@
 	Timings Timings
 	// LargeResponse is true for a request with a large response, such as a download.
 	LargeResponse bool
+	// Admission is that of the request; used when Busy is true.
+	Admission Admission
 	// Canceled is true when the request ended because its caller disconnected.
 	Canceled bool
 	// HasLinkWait is true when the host reported LinkWait, the time for which a large
@@ -92,6 +94,9 @@
 	// typicalServiceTimes holds the mean service time of each request class in
 	// nanoseconds; guarded by mutex.
 	typicalServiceTimes map[string]float64
+	// choice is that of the latest call of PickCheapest, kept to use its memory again;
+	// guarded by mutex.
+	choice choice
 }
 
 // view combines a candidate set with the state of its hosts.
