Refuse at the caller what all upstreams are expected to refuse

Requests that ended with 503 under overload had been sent to three or four hosts one after the other. The router passes the picker what the gates decide by and answers all-busy with Retry-After if it expects all hosts to refuse.

--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -37,7 +37,10 @@
 	// ReasonStopping means that this process may end before the request would.
 	ReasonStopping    = "stopping"
 	ReasonNoUpstreams = "no-upstreams"
-	ReasonDeadline    = "deadline"
+	// ReasonAllBusy means that the request was sent to no upstream, because all are
+	// expected to refuse it.
+	ReasonAllBusy  = "all-busy"
+	ReasonDeadline = "deadline"
 	// ReasonUnsafeStatus replaces an upstream's status that would tell the caller that
 	// the request did not run.
 	ReasonUnsafeStatus = "upstream-promise"
@@ -107,7 +110,7 @@
 }
 
 // failedOutcome returns the outcome of a failed call for the picker.
-func failedOutcome(ctx context.Context, callErr *peer.CallError, class string) pick.Outcome {
+func failedOutcome(ctx context.Context, callErr *peer.CallError, rs *requestState) pick.Outcome {
 	canceled := errors.Is(ctx.Err(), context.Canceled)
 	expired := callErr.Reason == peer.ReasonDeadline && ctx.Err() != nil
 	return pick.Outcome{
@@ -117,8 +120,9 @@
 		Shed:        callErr.Reason == serve.ReasonRefused || callErr.Reason == serve.ReasonFailing,
 		LoadPercent: callErr.LoadPercent,
 		Canceled:    canceled,
+		Admission:   rs.admission,
 		HasLinkWait: callErr.FromRemote, LinkWait: callErr.LinkWait,
-		Timings: pick.Timings{Class: class, ExpectedServiceTime: callErr.ExpectedServiceTime},
+		Timings: pick.Timings{Class: rs.rule.Name, ExpectedServiceTime: callErr.ExpectedServiceTime},
 	}
 }
 
@@ -213,6 +217,26 @@
 	return mean - mean*overloadJitterPercent/200 + rand.N(max(mean*overloadJitterPercent/100, 1))
 }
 
+// admission returns what the gates decide by for the next attempt.
+func (r *Router) admission(rs *requestState) (a pick.Admission) {
+	typical := r.Picker.TypicalServiceTime(rs.rule.Name)
+	a.StartWithin, _ = r.queueLimits(rs, typical)
+	a.Class = pick.RequestClass{
+		Rule: rs.rule.Name, Account: rs.record.Account, Priority: rs.snapshot.Plan.Priority(rs.rule, rs.account), Overdue: r.isOverdue(rs, typical),
+	}
+	return a
+}
+
+// noUpstreamResponse returns the response to a request for which the picker found no
+// upstream, or no further one.
+func (r *Router) noUpstreamResponse(ctx context.Context, rs *requestState, err error) *front.Response {
+	var busy *pick.AllBusyError
+	if errors.As(err, &busy) && len(rs.tried) == 0 {
+		return r.localResponse(rs, http.StatusServiceUnavailable, ReasonAllBusy, r.retryAfterOverload(rs))
+	}
+	return r.failureResponse(ctx, rs, nil)
+}
+
 // localResponse returns a response that this node generates.
 func (r *Router) localResponse(rs *requestState, status int, reason string, retryAfter time.Duration) *front.Response {
 	rs.record.Reason, rs.record.RetryAfter = reason, retryAfter
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -122,6 +122,8 @@
 	account  *plan.Account
 	service  mesh.Service
 	snapshot cells.ProxySnapshot
+	// admission is what the gates decide by for the next attempt.
+	admission pick.Admission
 	// tried lists the hosts of the attempts so far.
 	tried []mesh.HostID
 	// upstreamAttempts counts the attempts that may have reached an upstream.
@@ -263,12 +265,13 @@
 // runAttempts makes attempts until one is answered or no further one is allowed.
 func (r *Router) runAttempts(ctx context.Context, rs *requestState) *front.Response {
 	for {
+		rs.admission = r.admission(rs)
 		candidate, expected, err := r.Picker.PickCheapest(time.Now(), pick.CostRequest{
 			Set: rs.snapshot.CandidateSets[rs.service], From: r.Place, FromHost: r.Host, Tried: rs.tried, Class: rs.rule.Name, DistanceCosts: r.distanceCosts(rs),
-			LargeResponse: rs.rule.Kind == plan.Download, CallerNodes: rs.snapshot.NodeCount,
+			LargeResponse: rs.rule.Kind == plan.Download, CallerNodes: rs.snapshot.NodeCount, Admission: rs.admission,
 		})
 		if err != nil {
-			return r.failureResponse(ctx, rs, nil)
+			return r.noUpstreamResponse(ctx, rs, err)
 		}
 		if len(rs.tried) > 0 && time.Until(rs.deadline) < expected/2 {
 			return r.failureResponse(ctx, rs, nil)
@@ -356,7 +359,7 @@
 	now := time.Now()
 	if err != nil {
 		callErr = toCallError(err)
-		outcome = failedOutcome(ctx, callErr, rs.rule.Name)
+		outcome = failedOutcome(ctx, callErr, rs)
 		if isUnreachable(callErr) {
 			r.probeUntilReachable(candidate)
 		}
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -391,6 +391,26 @@
 	}
 }
 
+// Under overload, hosts would otherwise refuse each request up to four times.
+func TestRequestsThatAllHostsRefuseAreRefusedAtTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusal := notRun("gate-late")
+		refusal.callErr.FromRemote, refusal.callErr.LoadPercent = true, 300
+		s := &scriptedCaller{results: []callResult{refusal}}
+		router, recorded := newRouter(t, plan.Idempotent, 1, s)
+		for n, calls := range []int{3, 3, 3} {
+			response := router.Handle(t.Context(), newRequest("/o/x", nil))
+			assert.Equal(t, response.Status, http.StatusServiceUnavailable)
+			assert.Assert(t, recorded.last.RetryAfter > 0)
+			assert.Equal(t, len(s.calls), calls, "request %d", n)
+		}
+		assert.Equal(t, recorded.last.Reason, steer.ReasonAllBusy)
+		time.Sleep(time.Second)
+		router.Handle(t.Context(), newRequest("/o/x", nil))
+		assert.Equal(t, len(s.calls), 4)
+	})
+}
+
 func TestForwardsRequestWithOriginHeader(t *testing.T) {
 	s := &scriptedCaller{results: []callResult{{status: 200, body: "x"}}}
 	router, _ := newRouter(t, plan.Idempotent, 1, s)
