--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -136,6 +136,9 @@
 	// gateSlots is the number of slots that the gate was last configured with; control
 	// thread only.
 	gateSlots int
+	// queuedWhileFree is the moving share of time in which requests wait here while
+	// another host of the service has a free slot; control thread only.
+	queuedWhileFree float64
 
 	nodeListener   net.Listener
 	callerListener net.Listener
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -14,6 +14,14 @@
 	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
+)
+
+const (
+	// waitPercentile is the percentile of the wait for a slot that is a metric.
+	waitPercentile = 99
+	// queuedShareTicks is the time constant of Proxy.queuedWhileFree, in updates.
+	queuedShareTicks = 60
 )
 
 // floors is the percentage of the gate's slots that is reserved for each priority
@@ -122,6 +130,7 @@
 // control thread.
 func (p *Proxy) updateGauges(time.Time) {
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
+	balance := p.updateBalance(time.Now(), load)
 	gauges := []struct {
 		name  string
 		value float64
@@ -131,6 +140,9 @@
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
+		{"gate_wait_p99_seconds", p.gate.WaitQuantile(time.Now(), waitPercentile).Seconds()},
+		{"service_busy_spread", balance.Spread},
+		{"queued_while_free_share", p.queuedWhileFree},
 		{"calls_answered", float64(counters.Answered.Load())},
 		{"calls_not_run", float64(counters.NotRun.Load())},
 		{"calls_unknown", float64(counters.Unknown.Load())},
@@ -147,6 +159,16 @@
 	}
 }
 
+// updateBalance returns how evenly the hosts of this proxy's service are loaded, as far as
+// it knows, and updates the share of time in which requests wait here while a slot is
+// free at another host.
+func (p *Proxy) updateBalance(now time.Time, load gate.Load) (balance pick.Balance) {
+	settings := p.settings.Load()
+	balance = p.router.Picker.Balance(now, mesh.ServiceID{Service: settings.Service}, settings.Host)
+	p.queuedWhileFree += (asNumber(load.Waiting > 0 && balance.HasFreeSlot) - p.queuedWhileFree) / queuedShareTicks
+	return balance
+}
+
 // asNumber returns 1 for true and 0 for false.
 func asNumber(b bool) float64 {
 	if b {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -49,6 +49,7 @@
 	// drained is closed once a draining gate has no requests left; nil unless
 	// draining.
 	drained chan struct{}
+	waits   waitHistogram
 }
 
 // Permit represents a slot held by a request.
@@ -77,6 +78,7 @@
 // deadline. Its state must be New.
 func (g *Gate) AcquireFor(ctx context.Context, request Request) (permit *Permit, err error) {
 	p := &Permit{gate: g, request: request}
+	arrived := time.Now()
 	if ctx.Err() != nil {
 		return nil, &RejectedError{Reason: Canceled}
 	}
@@ -90,6 +92,8 @@
 	if rejected := p.request.Rejection(); rejected != nil {
 		return nil, rejected
 	}
+	now := time.Now()
+	g.waits.record(now, now.Sub(arrived))
 	return p, nil
 }
 
