--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -11,7 +11,16 @@
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/conf"
+	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
+)
+
+const (
+	// waitPercentile is the percentile of the wait for a slot that is a metric.
+	waitPercentile = 99
+	// queuedShareTicks is the time constant of Proxy.queuedWhileFree, in updates.
+	queuedShareTicks = 60
 )
 
 // applySnapshot configures the gate and the call handler by the new snapshot. It runs
@@ -119,12 +128,16 @@
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
 	sharing, intake := p.gate.Sharing(), p.router.Intake.Stats()
 	nestedCalls, raised := p.nestedCalls.Stats()
+	balance := p.updateBalance(now, load)
 	gauges := []gauge{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
+		{"gate_wait_p99_seconds", p.gate.WaitQuantile(now, waitPercentile).Seconds()},
+		{"service_busy_spread", balance.Spread},
+		{"queued_while_free_share", p.queuedWhileFree},
 		{"gate_accounts_waiting", float64(sharing.Accounts)},
 		{"gate_largest_account_percent", float64(sharing.LargestPercent)},
 		{"gate_displaced_by_share", float64(sharing.Displaced)},
@@ -154,6 +167,16 @@
 	p.updateRolloutGauges()
 }
 
+// updateBalance returns how evenly the hosts of this proxy's service are loaded, as far as
+// it knows, and updates the share of time in which requests wait here while a slot is
+// free at another host.
+func (p *Proxy) updateBalance(now time.Time, load gate.Load) (balance pick.Balance) {
+	settings := p.settings.Load()
+	balance = p.router.Picker.Balance(now, mesh.ServiceID{Service: settings.Service}, settings.Host)
+	p.queuedWhileFree += (asNumber(load.Waiting > 0 && balance.HasFreeSlot) - p.queuedWhileFree) / queuedShareTicks
+	return balance
+}
+
 // asNumber returns 1 for true and 0 for false.
 func asNumber(b bool) float64 {
 	if b {
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -52,7 +52,7 @@
 // may be part of a trial; others use the upstreams that serve.
 func (r *Router) candidateSet(rs *requestState) *pick.CandidateSet {
 	rs.inTrial = false
-	if len(rs.tried) == 0 {
+	if len(rs.tried) == 0 && !rs.noTrial {
 		if trial, found := rs.snapshot.Trials[rs.service]; found && trial.Takes(time.Now(), rs.rule.Name, rand.Float64()) {
 			rs.inTrial = true
 			return trial.Set
--- a/internal/steer/rollout_test.go
+++ b/internal/steer/rollout_test.go
@@ -1,7 +1,9 @@
 package steer_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/serve"
+	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 	"arbutusstep.example/arbutusstep/pkg/plan"
@@ -93,3 +96,32 @@
 		})
 	}
 }
+
+// fullTrialCaller refuses calls for the release of a trial and answers all others.
+type fullTrialCaller struct{ refused, answered int }
+
+// Call implements steer.RemoteCaller.
+func (f *fullTrialCaller) Call(_ context.Context, _ netip.AddrPort, call *peer.Call) (*peer.Reply, error) {
+	if call.Head.GetRelease() == "v2" {
+		f.refused++
+		return nil, &peer.CallError{Outcome: peer.NotRun, Reason: "gate-late", LoadPercent: 300, FromRemote: true}
+	}
+	f.answered++
+	return &peer.Reply{Head: &wire.ReplyHead{Status: http.StatusOK, ServiceMicros: 20_000}, Body: http.NoBody}, nil
+}
+
+// TestFullTrialLeavesRequestsToTheOthers guards against requests that are refused because
+// the few upstreams of a trial are expected to refuse them.
+func TestFullTrialLeavesRequestsToTheOthers(t *testing.T) {
+	caller := &fullTrialCaller{}
+	router, recorded := newRouter(t, plan.Idempotent, 2, &scriptedCaller{})
+	router.Remote = caller
+	router.Snapshots = startTrial(router.Snapshots.(fixedSnapshot), shift.Trial{Share: 1, Until: time.Now().Add(time.Hour)})
+	const requests = 30
+	for i := range requests {
+		response := router.Handle(t.Context(), newRequest("/o/x", map[string]string{"id": fmt.Sprint(i)}))
+		assert.Equal(t, response.Status, http.StatusOK, recorded.last.Reason)
+	}
+	assert.Equal(t, caller.answered, requests)
+	assert.Assert(t, caller.refused > 0 && caller.refused < requests, "%d refused", caller.refused)
+}
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -141,10 +141,13 @@
 	nested   bool
 	service  mesh.Service
 	snapshot cells.ProxySnapshot
+	// admission is what the gates decide by for the next attempt.
+	admission pick.Admission
 	// tried lists the hosts of the attempts so far.
 	tried []mesh.HostID
-	// inTrial is true if the current attempt is part of the trial of a release.
-	inTrial bool
+	// inTrial is true if the current attempt is part of the trial of a release, and
+	// noTrial if none may be.
+	inTrial, noTrial bool
 	// upstreamAttempts counts the attempts that may have reached an upstream.
 	upstreamAttempts int
 	deadline         time.Time
@@ -292,12 +295,19 @@
 // runAttempts makes attempts until one is answered or no further one is allowed.
 func (r *Router) runAttempts(ctx context.Context, rs *requestState) *front.Response {
 	for {
+		rs.admission = r.admission(rs)
 		candidate, expected, err := r.Picker.PickCheapest(time.Now(), pick.CostRequest{
 			Set: r.candidateSet(rs), From: r.Place, FromHost: r.Host, Tried: rs.tried, Class: rs.rule.Name, DistanceCosts: r.distanceCosts(rs),
-			LargeResponse: rs.rule.Kind == plan.Download, CallerNodes: rs.snapshot.NodeCount,
+			LargeResponse: rs.rule.Kind == plan.Download, CallerNodes: rs.snapshot.NodeCount, Admission: rs.admission,
 		})
+		if err != nil && rs.inTrial {
+			// The upstreams of the trial are few. If they refuse all, those that serve take
+			// the request.
+			rs.noTrial = true
+			continue
+		}
 		if err != nil {
-			return r.failureResponse(ctx, rs, nil)
+			return r.noUpstreamResponse(ctx, rs, err)
 		}
 		if len(rs.tried) > 0 && (time.Until(rs.deadline) < expected/2 || r.tooFarForRetry(rs, candidate, expected)) {
 			return r.failureResponse(ctx, rs, nil)
@@ -389,7 +399,7 @@
 	now := time.Now()
 	if err != nil {
 		callErr = toCallError(err)
-		outcome = failedOutcome(ctx, callErr, rs.rule.Name)
+		outcome = failedOutcome(ctx, callErr, rs)
 		if isUnreachable(callErr) {
 			r.probeUntilReachable(candidate)
 		}
