Let the gate keep slots from being granted

Cause: requests that the upstream runs without a slot (canceled ones, health checks, those of an earlier process) did not count, so the upstream got more than it accepts. Change: Gate.Hold takes slots away from granting, from the predicted wait and from the reported load. One slot is always granted, because only a response shows that there is capacity again. Measured: go test -race ./pkg/gate passes; without a call of Hold nothing changes.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -24,7 +24,8 @@
 	Running int
 	// Waiting is the number of requests in the queue.
 	Waiting int
-	// Limit is the current concurrency limit, from 1 to Slots.
+	// Limit is the current concurrency limit without the slots that are held, from 1 to
+	// Slots.
 	Limit int
 	// Slots is the upstream's own limit.
 	Slots int
@@ -66,6 +67,16 @@
 	g.armTimer(now)
 }
 
+// Hold keeps that many slots from being granted, for requests that the upstream may run
+// without a slot. One slot is always granted.
+func (g *Gate) Hold(slots int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	g.notify(g.queue.Hold(now, slots))
+	g.armTimer(now)
+}
+
 // Acquire waits until the request gets a slot. A zero deadline means no deadline.
 // The error is always a *RejectedError; such a request has not been sent to the
 // upstream.
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -191,3 +191,43 @@
 		})
 	}
 }
+
+// TestHeldSlotsAreNotGranted guards against more requests at an upstream than it accepts,
+// and against a gate that grants nothing, so that it never learns that there is capacity.
+func TestHeldSlotsAreNotGranted(t *testing.T) {
+	tests := []struct {
+		name          string
+		slots, held   int
+		limit         int
+		runningBefore int
+		// afterwards is the number of requests that run once nothing is held.
+		afterwards int
+	}{
+		{name: "none", slots: 4, held: 0, limit: 4, afterwards: 4},
+		{name: "some", slots: 4, held: 3, limit: 1, afterwards: 4},
+		{name: "all", slots: 4, held: 4, limit: 1, afterwards: 4},
+		{name: "more than all", slots: 4, held: 9, limit: 1, afterwards: 4},
+		{name: "negative", slots: 4, held: -1, limit: 4, afterwards: 4},
+		{name: "running before", slots: 4, held: 4, limit: 1, runningBefore: 3, afterwards: 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var q Queue
+			now := time.Unix(1, 0)
+			q.Configure(now, Config{Slots: tt.slots, FixedLimit: true})
+			for range tt.runningBefore {
+				q.Offer(now, &Request{})
+			}
+			q.Hold(now, tt.held)
+			for range 6 {
+				q.Offer(now, &Request{})
+			}
+			load := q.Load(now)
+			assert.Equal(t, load.Limit, tt.limit)
+			assert.Equal(t, load.Running, max(tt.limit, tt.runningBefore))
+			granted := q.Hold(now, 0)
+			assert.Equal(t, len(granted), tt.afterwards-max(tt.limit, tt.runningBefore))
+			assert.Equal(t, q.Load(now).Running, tt.afterwards)
+		})
+	}
+}
--- a/pkg/gate/predict.go
+++ b/pkg/gate/predict.go
@@ -12,7 +12,7 @@
 
 // predictedLate reports whether the request will be late after its predicted wait.
 func (q *Queue) predictedLate(now time.Time, r *Request) bool {
-	if q.running < q.limiter.current(now) {
+	if q.running < q.limit(now) {
 		return false
 	}
 	start := now.Add(q.predictedWait(now, r))
@@ -27,7 +27,7 @@
 // and that the requests that go before this one keep arriving at their recent rate and
 // take their part of the slots.
 func (q *Queue) predictedWait(now time.Time, r *Request) (wait time.Duration) {
-	slots := time.Duration(q.limiter.current(now))
+	slots := time.Duration(q.limit(now))
 	for p := int(r.Priority); p < len(q.subqueues); p++ {
 		for _, o := range q.subqueues[p].requests {
 			if p > int(r.Priority) || !o.startsAfter(r) {
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -57,6 +57,8 @@
 	waiting int
 	// running is the number of requests that hold a slot.
 	running int
+	// held is the number of slots that are not granted.
+	held int
 	// draining rejects every new request.
 	draining  bool
 	scheduler scheduler
@@ -81,6 +83,19 @@
 	return q.Expire(now)
 }
 
+// Hold keeps that many slots from being granted, for requests that the upstream may run
+// without a slot. One slot is always granted, because only a response shows that the
+// upstream has capacity again.
+func (q *Queue) Hold(now time.Time, slots int) (changed []*Request) {
+	q.held = max(slots, 0)
+	return q.Expire(now)
+}
+
+// limit returns the number of slots that may be granted, at least 1.
+func (q *Queue) limit(now time.Time) int {
+	return max(q.limiter.current(now)-q.held, 1)
+}
+
 // Drain rejects new requests from now on. Running and waiting requests are kept.
 func (q *Queue) Drain() {
 	q.draining = true
@@ -172,7 +187,7 @@
 
 // Load returns the current load.
 func (q *Queue) Load(now time.Time) Load {
-	return Load{Running: q.running, Waiting: q.waiting, Limit: q.limiter.current(now), Slots: q.slots()}
+	return Load{Running: q.running, Waiting: q.waiting, Limit: q.limit(now), Slots: q.slots()}
 }
 
 func (q *Queue) slots() int {
@@ -226,7 +241,7 @@
 	if !q.config.PredictWait {
 		return typical
 	}
-	slowdown := q.stall.slowdown(now, q.limiter.current(now))
+	slowdown := q.stall.slowdown(now, q.limit(now))
 	if e := q.classEstimates[r.Class]; e != nil && slowdown > 1 {
 		// While the upstream is stalled, nothing completes and the estimate decays, so
 		// use the value without decay.
@@ -253,7 +268,7 @@
 // full reports whether there is no place for a request of the priority. Places
 // reserved for the floors of other priorities count as taken.
 func (q *Queue) full(now time.Time, priority mesh.Priority) bool {
-	if q.waiting == 0 && q.running < q.limiter.current(now) {
+	if q.waiting == 0 && q.running < q.limit(now) {
 		return false
 	}
 	taken := q.waiting
@@ -298,7 +313,7 @@
 
 // dispatch grants the free slots to waiting requests.
 func (q *Queue) dispatch(now time.Time) {
-	for q.waiting > 0 && q.running < q.limiter.current(now) {
+	for q.waiting > 0 && q.running < q.limit(now) {
 		p := q.scheduler.next(&q.subqueues)
 		r := q.removeAt(q.subqueues[p].first(now, q.config.PredictWait), p)
 		if q.late(now, r) {
@@ -348,6 +363,6 @@
 	for p := int(r.Priority); p < len(q.subqueues); p++ {
 		ahead += q.subqueues[p].len()
 	}
-	wait := q.serviceTime(now, r.Priority) * time.Duration(ahead) / time.Duration(q.limiter.current(now))
+	wait := q.serviceTime(now, r.Priority) * time.Duration(ahead) / time.Duration(q.limit(now))
 	return min(wait, maxRetryAfter)
 }
