Give up requests at silent upstreams and count what still runs there

Change: the setting silentUpstreams makes a proxy track its upstream: it holds slots of the gate, gives up one attempt of a request that may be repeated, closes its connection, and sends fewer requests until the upstream answers again.

--- a/internal/conf/proxy.go
+++ b/internal/conf/proxy.go
@@ -31,6 +31,9 @@
 	Revocation time.Duration `yaml:"revocation" validate:"min=0,max=10m"`
 	// Quota is the tolerance of the quotas of client accounts.
 	Quota QuotaTolerance `yaml:"quota"`
+	// SilentUpstreams makes the proxy give up requests to which the local upstream does not
+	// respond while it answers others, and keep slots free for what may still run there.
+	SilentUpstreams bool `yaml:"silentUpstreams"`
 	// Limits holds the resource limits of the proxy.
 	Limits ProxyLimits `yaml:"limits"`
 	// Log configures logging.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -224,6 +224,7 @@
 	p.handler.Gate, p.handler.Headers = &p.gate, p.platform.Headers
 	p.handler.OnUnreachable, p.handler.OnUnanswered = p.reportUnreachable, p.requestLog.logUnanswered
 	p.handler.FinishBy, p.router.FinishBy = p.finishBy, p.finishBy
+	p.handler.OnLimited, p.router.GiveUpSilent = p.logLimited, settings.SilentUpstreams
 	p.handler.OnPanic, p.router.OnPanic = p.logPanic, p.logPanic
 	p.handler.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
 	p.handler.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -57,6 +57,8 @@
 	// release delays responses of the upstream until the channel is closed; nil means
 	// no delay.
 	release atomic.Pointer[chan struct{}]
+	// tracked is true if the setting silentUpstreams is on.
+	tracked bool
 	// healthStatus is the status code of the upstream's response to health checks, and
 	// healthChecks the number of checks.
 	healthStatus, healthChecks atomic.Int32
@@ -109,6 +111,7 @@
 	settings := conf.DefaultProxy()
 	settings.Host, settings.Region, settings.Zone = core.HostID(fmt.Sprint("h", number)), "ch-west", "lsn-a"
 	settings.Listen = conf.ProxyListen{Callers: anyPort, Nodes: anyPort, Admin: anyPort, Ready: anyPort}
+	settings.SilentUpstreams = p.tracked
 	settings.Platform, settings.Heartbeat, settings.Stop = m.objects.Addr(), time.Minute, 6*time.Second
 	var err error
 	p.proxy, err = proxy.Start(settings, proxy.Platform{
@@ -280,6 +283,27 @@
 	}
 }
 
+// TestRestartedProxyTracksItsUpstream guards against a restarted proxy that never releases
+// the slots that it holds for the requests of its predecessor.
+func TestRestartedProxyTracksItsUpstream(t *testing.T) {
+	m := newMesh(t, "orders")
+	p := m.proxies[0]
+	p.stop(t)
+	p.tracked = true
+	m.startProxy(t, p, 0)
+	p.awaitRoute(t, "/o/x", p)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		var metrics bytes.Buffer
+		assert.NilError(t, p.proxy.WriteMetrics(&metrics))
+		for _, want := range []string{"upstream_limit{host=\"h0\",zone=\"lsn-a\"} 4\n", "gate_held{host=\"h0\",zone=\"lsn-a\"} 0\n"} {
+			if !strings.Contains(metrics.String(), want) {
+				return poll.Continue("%s is missing in %s", want, &metrics)
+			}
+		}
+		return poll.Success()
+	}, pollTimeout)
+}
+
 // awaitRoute waits until the proxy's requests to the path are answered. Knowing all nodes
 // does not imply that their upstreams are known to be ready. It returns the number of
 // requests that the upstream ran by then.
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -20,6 +20,10 @@
 // under full load.
 var floors = [mesh.NumPriorities]int{mesh.Low: 5, mesh.Normal: 5, mesh.High: 10}
 
+// predecessorLinger is how long after the start of the process the requests of its
+// predecessor may run at the upstream.
+const predecessorLinger = 2 * time.Second
+
 // applySnapshot configures the gate and the call handler by the new snapshot. It runs
 // on the control thread.
 func (p *Proxy) applySnapshot(mesh.Version) {
@@ -46,9 +50,20 @@
 	if upstream.Instance == "" {
 		target = serve.Target{}
 	}
+	if p.settings.Load().SilentUpstreams && target.Address.IsValid() {
+		target.Slots = upstream.Slots
+		if upstream.StartedAt.Before(p.startedAt) {
+			target.InheritedUntil = p.startedAt.Add(predecessorLinger)
+		}
+	}
 	p.handler.SetTarget(target)
 }
 
+// logLimited logs that the upstream begins or ceases to get fewer requests.
+func (p *Proxy) logLimited(limited bool, limit int) {
+	p.logger.Info().Bool("limited", limited).Int("limit", limit).Msg("upstreamLimited")
+}
+
 // reportUnreachable tells the control thread that connections to the upstream fail.
 func (p *Proxy) reportUnreachable() {
 	p.cells.UnreachableInstances.Post(p.cells.Snapshot.Load().LocalUpstream.Instance)
@@ -122,6 +137,7 @@
 // control thread.
 func (p *Proxy) updateGauges(time.Time) {
 	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
+	held, limit := p.handler.Held()
 	gauges := []struct {
 		name  string
 		value float64
@@ -131,6 +147,10 @@
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
+		{"gate_held", float64(held)},
+		{"upstream_limit", float64(limit)},
+		{"calls_silent", float64(counters.Silent.Load())},
+		{"calls_reset", float64(counters.Reset.Load())},
 		{"calls_answered", float64(counters.Answered.Load())},
 		{"calls_not_run", float64(counters.NotRun.Load())},
 		{"calls_unknown", float64(counters.Unknown.Load())},
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -49,6 +49,8 @@
 	readLimit int64
 	// written is true if a byte of the current request may have been sent.
 	written bool
+	// received is true if a byte was received since the current request began.
+	received atomic.Bool
 	// answered is true once a response was read, and identified once one with the ID of
 	// its request was.
 	answered, identified bool
@@ -94,6 +96,9 @@
 	}
 	n, err = c.Conn.Read(data[:min(int64(len(data)), c.readLimit)])
 	c.readLimit -= int64(n)
+	if n > 0 {
+		c.received.Store(true)
+	}
 	return n, err
 }
 
@@ -129,6 +134,8 @@
 // connPool is a pool of connections to one upstream.
 type connPool struct {
 	address string
+	// dial opens a connection; nil means that of net.Dialer.
+	dial func(ctx context.Context, address string) (net.Conn, error)
 	// identifiesRefusals is true once the upstream has refused a request with its ID.
 	identifiesRefusals atomic.Bool
 	// slots limits the number of connections in use; nil means no limit.
@@ -157,14 +164,14 @@
 		}
 		if c.usable() {
 			c.written = false
+			c.received.Store(false)
 			return c, nil
 		}
 		_ = c.Close()
 	}
 	if err == nil {
-		dialer := net.Dialer{Timeout: connectTimeout}
 		var raw net.Conn
-		if raw, err = dialer.DialContext(ctx, "tcp", p.address); err == nil {
+		if raw, err = p.connect(ctx); err == nil {
 			return newConn(raw), nil
 		}
 	}
@@ -172,6 +179,14 @@
 	return nil, err
 }
 
+func (p *connPool) connect(ctx context.Context) (net.Conn, error) {
+	if p.dial != nil {
+		return p.dial(ctx, p.address)
+	}
+	dialer := net.Dialer{Timeout: connectTimeout}
+	return dialer.DialContext(ctx, "tcp", p.address)
+}
+
 func (p *connPool) popIdle() (c *conn, err error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -23,6 +24,8 @@
 	// be gate.New.
 	AcquireFor(ctx context.Context, request gate.Request) (*gate.Permit, error)
 	Load() gate.Load
+	// Hold keeps that many slots from being granted.
+	Hold(slots int)
 }
 
 // Handler handles calls to the upstream of this host. Gate must be set. All calls
@@ -54,6 +57,11 @@
 	// the gate at that time. It may be nil and must not block.
 	OnUnanswered func(head *wire.CallHead, outcome wire.Outcome, reason string, load gate.Load)
 
+	// OnLimited is called when the upstream begins or ceases to get fewer requests than it
+	// has slots, because it did not answer, with the number that it gets at once. It may be
+	// nil and must not block.
+	OnLimited func(limited bool, limit int)
+
 	// OnPanic is called with the value and the stack of a panic while a call is handled.
 	// It may be nil and must not block.
 	OnPanic func(value any, stack []byte)
@@ -74,29 +82,17 @@
 	Headers HeaderCodec
 
 	// upstream is nil while the host has no upstream.
-	upstream atomic.Pointer[upstream]
-	counters Counters
-	lengths  responseLengths
-	origins  originTracker
+	upstream  atomic.Pointer[upstream]
+	counters  Counters
+	lengths   responseLengths
+	origins   originTracker
+	occupancy occupancy
+	// dial opens a connection to an upstream; nil means that of net.Dialer.
+	dial func(ctx context.Context, address string) (net.Conn, error)
 	// ownMemory is used if Memory is nil.
 	ownMemory quota.Memory
 }
 
-// Counters counts calls by outcome.
-type Counters struct {
-	Answered atomic.Uint64
-	Replayed atomic.Uint64
-	NotRun   atomic.Uint64
-	Unknown  atomic.Uint64
-	// Truncated counts the responses whose body was truncated.
-	Truncated atomic.Uint64
-}
-
-// Counters returns the live counters.
-func (h *Handler) Counters() *Counters {
-	return &h.counters
-}
-
 // ServeCall implements peer.CallHandler.
 func (h *Handler) ServeCall(ctx context.Context, call *peer.Call, reply peer.ReplyWriter) {
 	defer func() {
@@ -283,6 +279,8 @@
 			reason = ReasonUnauthenticated
 		case errors.Is(err, errUnattributed):
 			reason = ReasonUnattributed
+		case errors.Is(err, errSilent):
+			reason = ReasonSilent
 		}
 		if ctx.Err() == nil {
 			state.upstream.breaker.Record(time.Now(), state.call.Head.GetRoute(), true)
--- a/internal/serve/reason.go
+++ b/internal/serve/reason.go
@@ -38,6 +38,9 @@
 	// ReasonUnattributed means that a refusal may have been that of an earlier request on
 	// the connection.
 	ReasonUnattributed = "answer-unattributed"
+	// ReasonSilent means that the upstream sent no byte of a response while it answered
+	// calls that were sent later.
+	ReasonSilent = "upstream-silent"
 	// ReasonFailing means that the circuit breaker is open, because the upstream
 	// fails nearly all requests.
 	ReasonFailing = "upstream-failing"
--- a/internal/serve/target.go
+++ b/internal/serve/target.go
@@ -23,14 +23,22 @@
 	// AdmitUntil is the time from which no further call may be sent; zero means no
 	// limit.
 	AdmitUntil time.Time
+	// Slots is the number of calls that the upstream runs at once, if calls to which it
+	// does not respond are given up and what may still run there holds slots of the gate;
+	// zero if not.
+	Slots int
+	// InheritedUntil is until when calls of an earlier process may run at the upstream;
+	// zero if there are none.
+	InheritedUntil time.Time
 }
 
 // upstream is the client side of the HTTP server that calls are forwarded to.
 type upstream struct {
-	pool     connPool
-	headers  HeaderCodec
-	service  mesh.Service
-	instance string
+	pool      connPool
+	headers   HeaderCodec
+	occupancy *occupancy
+	service   mesh.Service
+	instance  string
 	// admitUntil is the time from which no further call may be sent; nil means no
 	// limit.
 	admitUntil atomic.Pointer[time.Time]
@@ -62,11 +70,13 @@
 func (h *Handler) SetTarget(target Target) {
 	if old := h.upstream.Load(); old != nil && old.matches(target) {
 		old.setAdmitUntil(target.AdmitUntil)
+		h.occupancy.setTarget(h, target)
 		return
 	}
+	h.occupancy.setTarget(h, target)
 	var next *upstream
 	if target.Address.IsValid() {
-		next = &upstream{pool: connPool{address: target.Address.String()}, headers: h.headerCodec(), service: target.Service, instance: target.Instance}
+		next = &upstream{pool: connPool{address: target.Address.String(), dial: h.dial}, occupancy: &h.occupancy, headers: h.headerCodec(), service: target.Service, instance: target.Instance}
 		next.setAdmitUntil(target.AdmitUntil)
 		if target.MaxConnections > 0 {
 			next.pool.slots = make(chan struct{}, target.MaxConnections)
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -15,6 +15,7 @@
 
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/wire"
+	"arbutusstep.example/arbutusstep/pkg/silent"
 )
 
 const (
@@ -77,6 +78,8 @@
 	headers   HeaderCodec
 	// info is what the status and headers of the response say.
 	info ResponseInfo
+	// tracked records the exchange at the occupancy; nil if that is off.
+	tracked *tracked
 	// reusable is false if the connection must be closed after the exchange.
 	reusable bool
 	once     sync.Once
@@ -102,12 +105,17 @@
 	x := &exchange{
 		pool: &u.pool, conn: c, body: call.Body, sendBy: sendBy, reusable: true, requestID: cmp.Or(call.Head.GetId(), call.Head.GetAttempt()), headers: u.headers,
 	}
+	x.tracked = u.occupancy.begin(c, silentRequest(ctx, call.Head))
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	var httpResponse *http.Response
 	if err = x.write(request); err == nil {
 		httpResponse, err = x.readResponse(request) //nolint:bodyclose // closing the body of the returned response releases the connection
 	}
+	if err == nil {
+		err = x.tracked.begun()
+	}
 	if err != nil {
+		err = x.tracked.failed(ctx, x.sendDone != nil || c.written, err)
 		x.finish(false)
 		return response, c.written, err
 	}
@@ -117,6 +125,17 @@
 	return upstreamResponse{Response: httpResponse, info: x.info}, true, nil
 }
 
+// silentRequest returns what decides when the call is given up. A call that must run at
+// most once is not repeatable.
+func silentRequest(ctx context.Context, head *wire.CallHead) (request silent.Request) {
+	request = silent.Request{
+		Class: head.GetRoute(), Typical: time.Duration(head.GetTypicalMicros()) * time.Microsecond,
+		Repeatable: head.GetIdempotent() && !atMostOnce(head),
+	}
+	request.Deadline, _ = ctx.Deadline()
+	return request
+}
+
 // upstreamResponse is a response with what its status and headers say.
 type upstreamResponse struct {
 	*http.Response
@@ -170,6 +189,11 @@
 // it otherwise. The request body is not read any more after finish returns.
 func (x *exchange) finish(complete bool) {
 	x.once.Do(func() {
+		if complete || x.info.NotRun {
+			x.tracked.end(silent.Complete)
+		} else {
+			x.tracked.end(silent.Left)
+		}
 		complete = x.stop() && complete && x.reusable && x.requestSent()
 		if complete {
 			x.pool.put(x.conn)
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -133,6 +133,12 @@
 	if callErr.Outcome == peer.Unknown {
 		rs.mayHaveRun = true
 	}
+	if callErr.Reason == serve.ReasonSilent {
+		if rs.sawSilence {
+			return false
+		}
+		rs.sawSilence = true
+	}
 	if ctx.Err() != nil || len(rs.tried) >= maxAttemptedHosts {
 		return false
 	}
@@ -149,6 +155,16 @@
 	return time.Since(rs.request.Arrived) < maxWait*busyRetryPercent/100
 }
 
+// mayRepeat reports whether the next attempt may be repeated, so that the upstream's host
+// may give it up. Silent upstreams cost a request one attempt at most, and its last attempt
+// waits for the response.
+func (r *Router) mayRepeat(rs *requestState) bool {
+	if !rs.rule.Kind.IsIdempotent() || !r.GiveUpSilent {
+		return rs.rule.Kind.IsIdempotent()
+	}
+	return !rs.sawSilence && rs.upstreamAttempts+1 < rs.rule.MaxAttempts && len(rs.tried) < maxAttemptedHosts
+}
+
 // latencyTarget returns the time within which a response has its full value to the
 // caller.
 func (r *Router) latencyTarget(rs *requestState) time.Duration {
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -99,6 +99,10 @@
 	// process ends then; zero means no limit. It may be nil and must not block.
 	FinishBy func() time.Time
 
+	// GiveUpSilent allows upstreams' hosts to give up one attempt of each request that may
+	// be repeated, if the upstream sends no byte of a response while it answers others.
+	GiveUpSilent bool
+
 	// OnPanic is called with the value and the stack of a panic while a request is
 	// processed. It may be nil and must not block.
 	OnPanic func(value any, stack []byte)
@@ -133,6 +137,8 @@
 	// mayHaveRun is true if an attempt failed in a way that leaves open whether the
 	// request ran.
 	mayHaveRun bool
+	// sawSilence is true if an attempt was given up because its upstream was silent.
+	sawSilence bool
 	// lastFailure is the error of the last failed attempt; nil if there was none.
 	lastFailure *peer.CallError
 	// fallback is an error response of an upstream, which is returned if no retry
@@ -394,7 +400,7 @@
 	startWithin, maxWait := r.queueLimits(rs, typical)
 	head := &wire.CallHead{
 		Service: string(rs.service), Method: rs.request.Method, Path: rs.request.Target, Headers: r.upstreamHeaders(rs),
-		Priority: uint32(rs.snapshot.Plan.Priority(rs.rule, rs.account)), Account: string(rs.record.Account), Idempotent: rs.rule.Kind.IsIdempotent(), BodyLength: rs.request.Body.Len(),
+		Priority: uint32(rs.snapshot.Plan.Priority(rs.rule, rs.account)), Account: string(rs.record.Account), Idempotent: r.mayRepeat(rs), BodyLength: rs.request.Body.Len(),
 		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
 		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
 		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
