End an exchange with an invalid response as unknown

Cause: a status below 200 was skipped as informational, so what followed was read as the response or the request waited for its deadline; 600 to 999, control bytes in the status text, and 204 and 304 with a body reached the caller. A status that an older proxy passed on was sent to the caller as it came. Change: such responses, 1xx other than 100, 102 and 103, 1xx with a body, and bytes that begin no response end the exchange with the reason answer-invalid on a connection that is closed. The router and the front refuse a status outside 200 to 599 of another proxy.

--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -20,6 +20,9 @@
 // pastDeadline is a deadline in the past. Setting it ends a blocked read.
 var pastDeadline = time.Unix(1, 0)
 
+// maxStatus is the highest status that is sent to a caller.
+const maxStatus = 599
+
 // connection is a connection of a caller.
 type connection struct {
 	server *Server
@@ -216,7 +219,7 @@
 func (e *exchange) complete(c *connection, response *Response) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	e.response = response
+	e.response = replaceInvalid(response)
 	if c.sending {
 		return
 	}
@@ -230,6 +233,15 @@
 	}
 }
 
+// replaceInvalid returns the response, or a 502 if its status can't be sent to a caller:
+// one below 200 is not the end of a response, and callers may not parse others.
+func replaceInvalid(response *Response) *Response {
+	if response.Status >= http.StatusOK && response.Status <= maxStatus {
+		return response
+	}
+	return &Response{Status: http.StatusBadGateway, SendBy: response.SendBy, Release: response.Release}
+}
+
 // sendNext sends the response of the first pending exchange. The mutex must be held;
 // it is released while sending. The connection is closed after the response only if no
 // later request has been read.
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -295,3 +296,45 @@
 		})
 	}
 }
+
+// statusHandler responds with the status.
+type statusHandler int
+
+func (h statusHandler) Handle(context.Context, *front.Request) *front.Response {
+	return &front.Response{Status: int(h), Body: []byte("body"), Length: 4}
+}
+
+func (h statusHandler) HandleMalformed(status int, _ string) *front.Response {
+	return &front.Response{Status: status}
+}
+
+// TestInvalidStatusNeverReachesTheCaller guards against a status that no client can parse,
+// or that it takes for an informational response and waits for another.
+func TestInvalidStatusNeverReachesTheCaller(t *testing.T) {
+	tests := []struct {
+		status, want int
+		body         string
+	}{
+		{status: 0, want: 502},
+		{status: 99, want: 502},
+		{status: 100, want: 502},
+		{status: 101, want: 502},
+		{status: 199, want: 502},
+		{status: 200, want: 200, body: "body"},
+		{status: 599, want: 599, body: "body"},
+		{status: 600, want: 502},
+		{status: 1000, want: 502},
+	}
+	for _, tt := range tests {
+		t.Run(strconv.Itoa(tt.status), func(t *testing.T) {
+			conn, reader := startServer(t, &front.Server{Handler: statusHandler(tt.status)})()
+			for range 2 {
+				_, err := io.WriteString(conn, getRequest("/"))
+				assert.NilError(t, err)
+				response, body := readResponse(t, reader)
+				assert.Equal(t, response.StatusCode, tt.want)
+				assert.Equal(t, body, tt.body)
+			}
+		})
+	}
+}
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -110,25 +110,31 @@
 
 // usable reports whether the idle connection can be used for another request: it
 // is not stale, and the upstream has neither closed it nor sent data on it.
-func (c *conn) usable() (usable bool) {
+func (c *conn) usable() bool {
 	if c.reader.Buffered() > 0 || c.stale() {
 		return false
 	}
+	var one [1]byte
+	_, err := c.peekSocket(one[:])
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peekSocket copies what was received but not read from the socket, without waiting. The
+// error is syscall.EAGAIN if nothing was received and the connection is open.
+func (c *conn) peekSocket(data []byte) (n int, err error) {
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	err = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = errors.Is(peekErr, syscall.EAGAIN)
+	readErr := raw.Read(func(descriptor uintptr) bool {
+		n, _, err = syscall.Recvfrom(int(descriptor), data, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return usable && err == nil
+	return n, errors.Join(err, readErr)
 }
 
 // connPool is a pool of connections to one upstream.
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -279,6 +279,8 @@
 			reason = ReasonUnauthenticated
 		case errors.Is(err, errUnattributed):
 			reason = ReasonUnattributed
+		case errors.Is(err, errInvalid):
+			reason = ReasonInvalidResponse
 		case errors.Is(err, errSilent):
 			reason = ReasonSilent
 		}
--- a/internal/serve/reason.go
+++ b/internal/serve/reason.go
@@ -38,6 +38,9 @@
 	// ReasonUnattributed means that a refusal may have been that of an earlier request on
 	// the connection.
 	ReasonUnattributed = "answer-unattributed"
+	// ReasonInvalidResponse means that the upstream sent a response that is invalid, such as
+	// one with a status of 000 or 600, or a 204 with a body.
+	ReasonInvalidResponse = "answer-invalid"
 	// ReasonSilent means that the upstream sent no byte of a response while it answered
 	// calls that were sent later.
 	ReasonSilent = "upstream-silent"
--- a/internal/serve/response.go
+++ b/internal/serve/response.go
@@ -7,8 +7,8 @@
 	"net/http"
 )
 
-// readResponse waits for the head of the response. It skips informational (1xx)
-// responses and late responses to earlier requests, within limits: the upstream may send
+// readResponse waits for the head of the response. It skips the informational responses
+// 100, 102 and 103, and late responses to earlier requests, within limits: the upstream may send
 // either without end.
 func (x *exchange) readResponse(request *http.Request) (response *http.Response, err error) {
 	headerLimit := int64(maxResponseHeader)
@@ -25,6 +25,9 @@
 			return nil, err
 		}
 		if own {
+			if err = x.checkNoBody(response); err != nil {
+				return nil, err
+			}
 			return response, x.checkAuthentic(response)
 		}
 		x.reusable = false
@@ -66,12 +69,14 @@
 // readHeader reads one header section and subtracts what was read from limit.
 func (x *exchange) readHeader(request *http.Request, limit *int64) (response *http.Response, err error) {
 	x.conn.readLimit = *limit
-	response, err = http.ReadResponse(x.conn.reader, request)
-	*limit, x.conn.readLimit = x.conn.readLimit, math.MaxInt64
-	if err == nil && response.StatusCode == http.StatusSwitchingProtocols {
-		return nil, errors.New("upstream switched protocols")
+	defer func() { *limit, x.conn.readLimit = x.conn.readLimit, math.MaxInt64 }()
+	if err = x.conn.awaitPrefix(); err != nil {
+		return nil, err
 	}
-	return response, err
+	if response, err = http.ReadResponse(x.conn.reader, request); err != nil {
+		return nil, classify(err)
+	}
+	return response, checkHead(response)
 }
 
 // checkAuthentic returns an error for a success response that may not have been
--- a/internal/steer/fetch.go
+++ b/internal/steer/fetch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/quota"
+	"arbutusstep.example/arbutusstep/internal/serve"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 )
 
@@ -72,6 +74,11 @@
 	if result.err != nil {
 		return result
 	}
+	if status := int(result.reply.Head.GetStatus()); !serve.IsAnswer(status) {
+		result.err = &peer.CallError{Outcome: peer.Unknown, Reason: serve.ReasonInvalidResponse, Err: errors.Join(fmt.Errorf("status %d", status), result.reply.Body.Close())}
+		result.reply = nil
+		return result
+	}
 	body := r.Memory.Hold()
 	if result.err = readBody(body, result.reply); result.err != nil {
 		body.Release()
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -189,6 +189,11 @@
 		{name: "error response, at most once", kind: plan.AtMostOnce, attempts: 2, results: []callResult{{status: 500}, ok}, status: 500, calls: 1},
 		{name: "error responses of two hosts", attempts: 2, results: []callResult{{status: 500}, {status: 500}}, status: 500, calls: 2},
 		{name: "status that implies not run", kind: plan.AtMostOnce, attempts: 1, results: []callResult{{status: 503}}, status: 502, calls: 1},
+		{name: "status 000 of an older proxy, at most once", kind: plan.AtMostOnce, attempts: 2, results: []callResult{{status: 0}, ok}, status: 502, calls: 1},
+		{name: "status 099 of an older proxy, idempotent", attempts: 2, results: []callResult{{status: 99}, ok}, status: 200, calls: 2},
+		{name: "status 101 of an older proxy", kind: plan.AtMostOnce, attempts: 2, results: []callResult{{status: 101}, ok}, status: 502, calls: 1},
+		{name: "status 600 of older proxies", attempts: 2, results: []callResult{{status: 600}, {status: 999}, ok}, status: 502, calls: 2},
+		{name: "status 599", kind: plan.AtMostOnce, attempts: 2, results: []callResult{{status: 599}, ok}, status: 599, calls: 1},
 		{name: "client error is returned", attempts: 2, results: []callResult{{status: 409}}, status: 409, calls: 1},
 		{name: "timeout", attempts: 2, results: []callResult{{hangs: true}}, status: 504, calls: 1},
 	}
