Restore the limit of a silent upstream only for the request that reduced it

Cause: any passed request that was answered late gave a silent upstream all slots back, although the limit had been reduced because of another one. Change: only an answer to the request of the last reduction restores the limit.

--- a/pkg/silent/silent_test.go
+++ b/pkg/silent/silent_test.go
@@ -216,6 +216,39 @@
 	}
 }
 
+// TestLateAnswerRestoresTheLimit guards against a slow upstream that gets fewer requests
+// than it can run, and against a silent one that gets all again because another request
+// was late.
+func TestLateAnswerRestoresTheLimit(t *testing.T) {
+	tests := []struct {
+		name     string
+		answered int
+		limited  bool
+	}{
+		{name: "the request that was passed first", answered: 0},
+		{name: "another one", answered: 1, limited: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tracker, now := trained()
+			var requests [2]Request
+			for i := range requests {
+				requests[i].Class = "a"
+				tracker.Begin(at(now), &requests[i])
+			}
+			for range minPassed {
+				exchange(tracker, "a", now+1, 30)
+			}
+			for i := range requests {
+				tracker.Check(at(now+100), &requests[i])
+			}
+			assert.Assert(t, tracker.Limited())
+			tracker.Answered(at(now+110), &requests[tt.answered])
+			assert.Equal(t, tracker.Limited(), tt.limited)
+		})
+	}
+}
+
 // TestInheritedSlotsAreReleasedByEvidence guards against a restarted process that sends as
 // much as its slots allow while the requests of its predecessor run, and against one that
 // waits although the upstream is free.
--- a/pkg/silent/tracker.go
+++ b/pkg/silent/tracker.go
@@ -101,6 +101,8 @@
 	// reducedAt is when limit was last reduced. Requests that were sent earlier say
 	// nothing about the present limit.
 	reducedAt time.Time
+	// reducedBy is the request because of which limit was last reduced; nil if none was.
+	reducedBy *Request
 	classes   map[string]*responseTimes
 	answers   answerLog
 }
@@ -164,9 +166,9 @@
 		t.inherited = min(t.inherited, max(t.slots-r.inFlight-1, 0))
 	}
 	switch {
-	case !r.passedBy.IsZero():
+	case r == t.reducedBy:
 		// The upstream was slow with this request, and not silent.
-		t.limit, t.ceiling, t.probeTime = float64(t.slots), float64(t.slots), 0
+		t.limit, t.ceiling, t.probeTime, t.reducedBy = float64(t.slots), float64(t.slots), 0, nil
 	case !r.sent.Before(t.reducedAt):
 		t.raise(now)
 	}
@@ -238,7 +240,7 @@
 	}
 	t.ceiling = max(min(t.limit, max(float64(r.inFlight-1), t.alive(now))), 1)
 	t.limit = max(t.ceiling*reduction, 1)
-	t.reducedAt, t.ceilingAt = now, now
+	t.reducedAt, t.ceilingAt, t.reducedBy = now, now, r
 	t.probeTime = min(max(2*t.probeTime, minProbeTime), maxProbeTime)
 }
 
