Let the scripted upstream finish before its test ends

Cause: one run of the tests with the race detector ended with 'blocked goroutines remain': the upstream still ran a request whose connection had been closed, and virtual time stops with the test. Change: the cleanup waits until such requests have ended. Measured: go test -race -count=12 -run 'Silent|InFlight|WithoutResponse' ./internal/serve passes.

--- a/internal/serve/silent_test.go
+++ b/internal/serve/silent_test.go
@@ -164,7 +164,13 @@
 	g := &gate.Gate{}
 	g.Configure(gate.Config{Slots: 18, FixedLimit: true, PredictWait: true})
 	h = &Handler{Gate: g, dial: u.dial}
-	t.Cleanup(func() { h.SetTarget(Target{}) })
+	t.Cleanup(func() {
+		h.SetTarget(Target{})
+		// The upstream may still run requests whose connection was closed. Virtual time stops
+		// with the test.
+		time.Sleep(requestTimeout)
+		synctest.Wait()
+	})
 	return h, Target{Address: netip.MustParseAddrPort("127.0.0.1:1"), Instance: "i-1", Slots: 18}
 }
 
