--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -129,6 +129,7 @@
 	sharing, intake := p.gate.Sharing(), p.router.Intake.Stats()
 	nestedCalls, raised := p.nestedCalls.Stats()
 	balance := p.updateBalance(now, load)
+	held, limit := p.handler.Held()
 	gauges := []gauge{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
@@ -149,6 +150,10 @@
 		{"nested_calls_normal", float64(nestedCalls[mesh.Normal])},
 		{"nested_calls_low", float64(nestedCalls[mesh.Low])},
 		{"nested_calls_raised", float64(raised)},
+		{"gate_held", float64(held)},
+		{"upstream_limit", float64(limit)},
+		{"calls_silent", float64(counters.Silent.Load())},
+		{"calls_reset", float64(counters.Reset.Load())},
 		{"calls_answered", float64(counters.Answered.Load())},
 		{"calls_not_run", float64(counters.NotRun.Load())},
 		{"calls_unknown", float64(counters.Unknown.Load())},
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -14,6 +14,10 @@
 	"arbutusstep.example/arbutusstep/pkg/shift"
 )
 
+// predecessorLinger is how long after the start of the process the requests of its
+// predecessor may run at the upstream.
+const predecessorLinger = 2 * time.Second
+
 // floors is the percentage of a gate's slots that is reserved for each priority under
 // full load.
 var floors = [mesh.NumPriorities]int{mesh.Low: 5, mesh.Normal: 5, mesh.High: 10}
@@ -32,7 +36,7 @@
 
 // initHandlers sets up the handlers of calls to the upstreams of this host.
 func (p *Proxy) initHandlers() {
-	p.router.Nested = &p.nestedCalls
+	p.router.Nested, p.router.GiveUpSilent = &p.nestedCalls, p.settings.Load().SilentUpstreams
 	p.initHandler(&p.handler, &p.gate)
 	p.initHandler(&p.beside.handler, &p.beside.gate)
 	p.initHandler(&p.beside.none, &p.gate)
@@ -42,7 +46,7 @@
 
 func (p *Proxy) initHandler(h *serve.Handler, g *gate.Gate) {
 	h.Gate, h.Link, h.Memory, h.Headers = g, &p.egressLink, &p.bodyMemory, p.platform.Headers
-	h.OnUnanswered, h.FinishBy, h.OnPanic = p.requestLog.logUnanswered, p.finishBy, p.logPanic
+	h.OnUnanswered, h.FinishBy, h.OnPanic, h.OnLimited = p.requestLog.logUnanswered, p.finishBy, p.logPanic, p.logLimited
 	h.OnForward = func() { p.router.Budget.RecordRun(time.Now()) }
 	h.AccountWeight, h.Runs = p.accountWeight, &p.nestedCalls
 	h.ServiceShare = func() float64 { return p.cells.Snapshot.Load().ServiceShare }
@@ -59,8 +63,8 @@
 func (p *Proxy) applyUpstreams(snapshot *cells.ProxySnapshot) {
 	configureGate(&p.gate, &p.gateSlots, snapshot.LocalUpstream)
 	configureGate(&p.beside.gate, &p.beside.gateSlots, snapshot.BesideUpstream)
-	p.handler.SetTarget(targetOf(snapshot, snapshot.LocalUpstream, snapshot.AdmitUntil))
-	p.beside.handler.SetTarget(targetOf(snapshot, snapshot.BesideUpstream, snapshot.BesideAdmitUntil))
+	p.handler.SetTarget(p.targetOf(snapshot, snapshot.LocalUpstream, snapshot.AdmitUntil))
+	p.beside.handler.SetTarget(p.targetOf(snapshot, snapshot.BesideUpstream, snapshot.BesideAdmitUntil))
 }
 
 func configureGate(g *gate.Gate, slots *int, upstream fleet.Upstream) {
@@ -71,7 +75,7 @@
 }
 
 // targetOf returns the target of calls to an upstream.
-func targetOf(snapshot *cells.ProxySnapshot, upstream fleet.Upstream, admitUntil time.Time) serve.Target {
+func (p *Proxy) targetOf(snapshot *cells.ProxySnapshot, upstream fleet.Upstream, admitUntil time.Time) serve.Target {
 	if upstream.Instance == "" {
 		return serve.Target{}
 	}
@@ -85,9 +89,20 @@
 		target.Address, target.AdmitUntil = upstream.Address, admitUntil
 	case member.Lost:
 	}
+	if p.settings.Load().SilentUpstreams && target.Address.IsValid() {
+		target.Slots = upstream.Slots
+		if upstream.StartedAt.Before(p.startedAt) {
+			target.InheritedUntil = p.startedAt.Add(predecessorLinger)
+		}
+	}
 	return target
 }
 
+// logLimited logs that an upstream begins or ceases to get fewer requests.
+func (p *Proxy) logLimited(limited bool, limit int) {
+	p.logger.Info().Bool("limited", limited).Int("limit", limit).Msg("upstreamLimited")
+}
+
 // upstreamDispatcher passes each call to the upstream that it is for.
 type upstreamDispatcher struct{ proxy *Proxy }
 
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -49,6 +49,8 @@
 	readLimit int64
 	// written is true if a byte of the current request may have been sent.
 	written bool
+	// received is true if a byte was received since the current request began.
+	received atomic.Bool
 	// answered is true once a response was read, and identified once one with the ID of
 	// its request was.
 	answered, identified bool
@@ -94,6 +96,9 @@
 	}
 	n, err = c.Conn.Read(data[:min(int64(len(data)), c.readLimit)])
 	c.readLimit -= int64(n)
+	if n > 0 {
+		c.received.Store(true)
+	}
 	return n, err
 }
 
@@ -105,30 +110,38 @@
 
 // usable reports whether the idle connection can be used for another request: it
 // is not stale, and the upstream has neither closed it nor sent data on it.
-func (c *conn) usable() (usable bool) {
+func (c *conn) usable() bool {
 	if c.reader.Buffered() > 0 || c.stale() {
 		return false
 	}
+	var one [1]byte
+	_, err := c.peekSocket(one[:])
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peekSocket copies what was received but not read from the socket, without waiting. The
+// error is syscall.EAGAIN if nothing was received and the connection is open.
+func (c *conn) peekSocket(data []byte) (n int, err error) {
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	err = raw.Read(func(descriptor uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		usable = errors.Is(peekErr, syscall.EAGAIN)
+	readErr := raw.Read(func(descriptor uintptr) bool {
+		n, _, err = syscall.Recvfrom(int(descriptor), data, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return usable && err == nil
+	return n, errors.Join(err, readErr)
 }
 
 // connPool is a pool of connections to one upstream.
 type connPool struct {
 	address string
+	// dial opens a connection; nil means that of net.Dialer.
+	dial func(ctx context.Context, address string) (net.Conn, error)
 	// identifiesRefusals is true once the upstream has refused a request with its ID.
 	identifiesRefusals atomic.Bool
 	// slots limits the number of connections in use; nil means no limit.
@@ -157,14 +170,14 @@
 		}
 		if c.usable() {
 			c.written = false
+			c.received.Store(false)
 			return c, nil
 		}
 		_ = c.Close()
 	}
 	if err == nil {
-		dialer := net.Dialer{Timeout: connectTimeout}
 		var raw net.Conn
-		if raw, err = dialer.DialContext(ctx, "tcp", p.address); err == nil {
+		if raw, err = p.connect(ctx); err == nil {
 			return newConn(raw), nil
 		}
 	}
@@ -172,6 +185,14 @@
 	return nil, err
 }
 
+func (p *connPool) connect(ctx context.Context) (net.Conn, error) {
+	if p.dial != nil {
+		return p.dial(ctx, p.address)
+	}
+	dialer := net.Dialer{Timeout: connectTimeout}
+	return dialer.DialContext(ctx, "tcp", p.address)
+}
+
 func (p *connPool) popIdle() (c *conn, err error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
