--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -19,8 +18,6 @@
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/serve"
-	"arbutusstep.example/arbutusstep/internal/wire"
-	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/intake"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/pick"
@@ -343,54 +340,6 @@
 	return (rs.inTrial || r.Picker.IsOutlier(rs.snapshot.CandidateSets[rs.service], host)) && r.tryWithdrawRetry(rs)
 }
 
-// queueLimits returns how long from now a request may wait for a slot. typical is the
-// typical service time of its rule; zero if unknown. A request that starts after
-// startWithin would be of little use to its caller and would delay others. A request
-// that can no longer meet its latency target may wait longer, so that it yields to
-// those that can. maxWait is the limit for requests that an upstream sends while it
-// processes another request: if they were refused, the work on that request would be
-// lost.
-func (r *Router) queueLimits(rs *requestState, typical time.Duration) (startWithin, maxWait time.Duration) {
-	if typical == 0 {
-		typical = r.latencyTarget(rs) / unknownServiceTimeDivisor
-	}
-	latest := gate.MaxWait(rs.record.Timeout)
-	// A large response that is late would delay others on the network link of its
-	// host, so downloads never wait longer.
-	if !r.isOverdue(rs, typical) {
-		latest = gate.StartWithin(r.latencyTarget(rs)-rs.elapsedBefore, rs.record.Timeout, typical)
-	}
-	if rs.rule.Kind == plan.Download {
-		latest = max(latest, gate.LeastWait(rs.record.Timeout))
-	}
-	used := time.Since(rs.request.Arrived)
-	startWithin = max(latest-used, time.Microsecond)
-	return startWithin, max(rs.record.Timeout-reservedServiceTimes*typical-used, startWithin)
-}
-
-// isOverdue reports whether a request can no longer meet its latency target, because its
-// caller spent the time on earlier attempts. Downloads never count as overdue: their turn
-// on the network link decides how late they are.
-func (r *Router) isOverdue(rs *requestState, typical time.Duration) bool {
-	return rs.rule.Kind != plan.Download && r.latencyTarget(rs)-rs.elapsedBefore <= typical*overdueServiceTimePercent/100
-}
-
-// distanceCosts returns the cost of distance for a request of the rule. Large
-// responses are expensive to transfer, so nearby upstreams are preferred as long as
-// they are fast enough.
-func (r *Router) distanceCosts(rs *requestState) pick.DistanceCosts {
-	if rs.rule.Kind == plan.Download {
-		return pick.DistanceCosts{
-			Host: r.latencyTarget(rs) * largeHostCostPercent / 100, Zone: r.latencyTarget(rs) * largeZoneCostPercent / 100, Region: r.latencyTarget(rs) * largeRegionCostPercent / 100,
-		}
-	}
-	if rs.nested {
-		return r.nestedDistanceCosts(rs)
-	}
-	zone := r.latencyTarget(rs) * zoneCostPercent / 100
-	return pick.DistanceCosts{Zone: zone, Region: zone + regionCost}
-}
-
 // attempt calls one upstream and reads its response completely.
 func (r *Router) attempt(
 	ctx context.Context, rs *requestState, candidate pick.Candidate, expected time.Duration,
@@ -434,40 +383,3 @@
 		Status: int(reply.Head.GetStatus()), Headers: reply.Head.GetHeaders(), Body: body.Bytes(), Length: reply.Head.GetBodyLength(), Release: body.Release,
 	}, nil
 }
-
-func microseconds(n int64) time.Duration {
-	return time.Duration(n) * time.Microsecond
-}
-
-// newCall returns the call for the next attempt at a request.
-func (r *Router) newCall(rs *requestState) *peer.Call {
-	typical := r.Picker.TypicalServiceTime(rs.rule.Name)
-	startWithin, maxWait := r.queueLimits(rs, typical)
-	head := &wire.CallHead{
-		Service: string(rs.service), Method: rs.request.Method, Path: rs.request.Target, Headers: r.upstreamHeaders(rs),
-		Priority: uint32(rs.priority), Nested: rs.nested, Account: string(rs.record.Account), Idempotent: r.mayRepeat(rs), BodyLength: rs.request.Body.Len(),
-		CallerRegion: string(r.Place.Region), Route: rs.rule.Name, Id: rs.record.ID, StartWithinMicros: startWithin.Microseconds(),
-		PatientMicros: maxWait.Microseconds(), CallerService: string(r.Service()),
-		TypicalMicros: typical.Microseconds(), Overdue: r.isOverdue(rs, typical),
-		Attempt: string(r.Host) + "-" + strconv.FormatUint(r.attemptCount.Add(1), 36),
-	}
-	return &peer.Call{Head: head, CheckLiveness: len(rs.tried) > 1, Body: newBodyReader(rs.request.Body)}
-}
-
-// upstreamHeaders returns the headers that are sent to the upstream.
-func (r *Router) upstreamHeaders(rs *requestState) (headers []*wire.Header) {
-	headers = make([]*wire.Header, 0, len(rs.request.Headers)+1)
-	hasAccounts := rs.snapshot.Plan.HasAccounts()
-	for _, h := range rs.request.Headers {
-		if r.Headers.IsReserved(h.GetName()) || hasAccounts && r.Headers.IdentifiesAccount(h.GetName()) {
-			continue
-		}
-		headers = append(headers, h)
-	}
-	if rs.account != nil {
-		name, value := r.Headers.AccountHeader(rs.account.Name)
-		headers = append(headers, &wire.Header{Name: name, Value: value})
-	}
-	name, value := r.Headers.OriginHeader(r.Service())
-	return append(headers, &wire.Header{Name: name, Value: value})
-}
