Let calls for quota tokens overlap

Cause: a proxy made one call to its parent at a time. Above 96 records the tree of readers has two levels, so a call to another region waited for the one before it at both levels, longer than the 200 ms that a request waits.

Change: calls keep their interval, but don't wait for each other; at most 16 are under way, none is made while one has waited for over 200 ms, and extra tokens that were asked for count as held.

--- a/internal/grants/call.go
+++ b/internal/grants/call.go
@@ -16,16 +16,16 @@
 // callTimeout limits one call to the parent. Its tokens are valid for little longer.
 const callTimeout = 400 * time.Millisecond
 
-// startCall starts the next call to the parent if there is anything to ask for and no call
-// is under way. Mutex must be locked.
+// startCall starts the next call to the parent if there is anything to ask for and the
+// interval has passed. Mutex must be locked.
 func (q *Quotas) startCall(now time.Time, withReturns bool) {
 	if q.ctx.Err() != nil {
 		return
 	}
-	asks, retryAt := q.keeper.NextCall(now, withReturns)
-	if len(asks) > 0 {
+	call, retryAt := q.keeper.NextCall(now, withReturns)
+	if call != nil {
 		address := q.address
-		q.calls.Go(func() { q.call(address, asks) })
+		q.calls.Go(func() { q.call(address, call) })
 		return
 	}
 	if retryAt.IsZero() {
@@ -45,18 +45,18 @@
 }
 
 // call asks the parent for tokens and answers the claims.
-func (q *Quotas) call(address netip.AddrPort, asks []tokens.Ask) {
+func (q *Quotas) call(address netip.AddrPort, call *tokens.Call) {
 	q.counters.Calls.Add(1)
 	ctx, cancel := context.WithTimeout(q.ctx, callTimeout)
 	defer cancel()
-	granted, err := Call(ctx, q.Caller, address, asks)
+	granted, err := Call(ctx, q.Caller, address, call.Asks)
 	if err != nil {
 		q.counters.FailedCalls.Add(1)
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := time.Now()
-	q.keeper.EndCall(now, granted, err == nil)
+	q.keeper.EndCall(now, call, granted, err == nil)
 	q.startCall(now, false)
 }
 
--- a/pkg/tokens/collector.go
+++ b/pkg/tokens/collector.go
@@ -29,26 +29,44 @@
 	abandoned bool
 }
 
-// Collector gathers the claims at a node into calls to its parent, of which one at a time
-// is under way. The zero Collector is empty.
+// maxCallsUnderWay limits the calls to the parent at one time. A call over two levels to
+// another region takes some 80 ms, so calls that waited for each other would take longer
+// than a request waits.
+const maxCallsUnderWay = 16
+
+// Collector gathers the claims at a node into calls to its parent. The zero Collector is
+// empty.
 type Collector struct {
-	waiting, sent []*Claim
-	underWay      bool
-	sentAt        time.Time
-	// failed is true if the last call failed.
+	waiting []*Claim
+	// underWay holds the calls under way, oldest first, at most maxCallsUnderWay.
+	underWay []*Call
+	// sentAt is the time of the last call.
+	sentAt time.Time
+	// failed is true if the call that ended last failed.
 	failed bool
 }
 
+// Call is a call to the parent that is under way.
+type Call struct {
+	// Asks has one ask for each account, sorted by account; never empty.
+	Asks   []Ask
+	claims []*Claim
+	sentAt time.Time
+	// extra holds the extra tokens that the stock asked for.
+	extra map[mesh.Account]int
+}
+
 // Add adds a claim to the next call.
 func (c *Collector) Add(claim *Claim) {
 	c.waiting = append(c.waiting, claim)
 }
 
-// Next returns the asks of the next call, which is then under way until End is called.
-// Calls keep an interval that depends on the number of nodes. If there is none now, it returns the time at which to try again; zero if that is after
-// End or Add.
-func (c *Collector) Next(now time.Time, stock *Stock, nodes int, withReturns bool) (asks []Ask, retryAt time.Time) {
-	if c.underWay {
+// Next returns the next call, which is then under way until End is called. Calls keep an
+// interval that depends on the number of nodes. If there is none now, the call is nil, and
+// Next returns the time at which to try again; zero if that is after End or Add.
+func (c *Collector) Next(now time.Time, stock *Stock, nodes int, withReturns bool) (call *Call, retryAt time.Time) {
+	if n := len(c.underWay); n >= maxCallsUnderWay || n > 0 && now.Sub(c.underWay[0].sentAt) > MaxWait {
+		// A parent that has not answered for so long would not answer another call either.
 		return nil, time.Time{}
 	}
 	interval := min(max(minCallInterval, time.Duration(nodes)*callIntervalPerNode), maxCallInterval)
@@ -68,14 +86,17 @@
 		a.Extra += cl.Ask.Extra
 		a.Returned += cl.Ask.Returned
 	}
-	for i := range list.asks {
-		list.asks[i].Extra += stock.Extra(now, list.asks[i].Account)
-	}
-	stock.Low(now, func(account mesh.Account) {
-		if _, listed := list.byAccount[account]; !listed {
-			list.at(account).Extra = stock.Extra(now, account)
+	call = &Call{sentAt: now, extra: make(map[mesh.Account]int)}
+	addExtra := func(account mesh.Account) {
+		if n := stock.AskExtra(now, account); n > 0 {
+			list.at(account).Extra += n
+			call.extra[account] = n
 		}
-	})
+	}
+	for _, a := range slices.Clone(list.asks) {
+		addExtra(a.Account)
+	}
+	stock.Low(now, addExtra)
 	if withReturns || len(list.asks) > 0 {
 		stock.Returns(now, func(account mesh.Account, n int) { list.at(account).Returned += n })
 	}
@@ -84,26 +105,29 @@
 		return nil, time.Time{}
 	}
 	slices.SortFunc(list.asks, func(a, b Ask) int { return cmp.Compare(a.Account, b.Account) })
-	c.waiting, c.sent = nil, c.waiting
-	c.underWay, c.sentAt = true, now
-	return list.asks, time.Time{}
+	call.Asks, call.claims, c.waiting = list.asks, c.waiting, nil
+	c.underWay = append(c.underWay, call)
+	c.sentAt = now
+	return call, time.Time{}
 }
 
-// End ends the call under way and answers its claims. answered is false if it failed; the
-// claims then wait for the next one, as the link may be lost for a moment only.
-func (c *Collector) End(now time.Time, stock *Stock, grants []Grant, answered bool) {
-	c.underWay, c.failed = false, !answered
+// End ends a call and answers its claims. answered is false if it failed; the claims then
+// wait for the next one, as the link may be lost for a moment only.
+func (c *Collector) End(now time.Time, stock *Stock, call *Call, grants []Grant, answered bool) {
+	c.underWay = slices.DeleteFunc(c.underWay, func(o *Call) bool { return o == call })
+	c.failed = !answered
+	for account, n := range call.extra {
+		stock.EndExtra(account, n)
+	}
 	if !answered {
-		c.requeue()
+		c.requeue(call)
 		return
 	}
 	byAccount := make(map[mesh.Account]*share, len(grants))
 	for _, g := range grants {
 		byAccount[g.Account] = &share{Grant: g}
 	}
-	sent := c.sent
-	c.sent = nil
-	for _, cl := range sent {
+	for _, cl := range call.claims {
 		if s := byAccount[cl.Ask.Account]; s != nil && !cl.abandoned {
 			s.needed += cl.Ask.Needed
 		}
@@ -111,7 +135,7 @@
 	for _, s := range byAccount {
 		s.needed = min(s.needed, s.Tokens)
 	}
-	for _, cl := range sent {
+	for _, cl := range call.claims {
 		if cl.abandoned {
 			continue
 		}
@@ -126,18 +150,17 @@
 		if s.RetryAfter > 0 {
 			stock.Block(now, account, s.RetryAfter)
 		}
-		stock.Put(now, account, s.Tokens, c.sentAt)
+		stock.Put(now, account, s.Tokens, call.sentAt)
 	}
 }
 
 // requeue makes the claims of a failed call wait for the next one. Tokens that they returned
 // may have arrived, so they are not returned again.
-func (c *Collector) requeue() {
-	for _, cl := range c.sent {
+func (c *Collector) requeue(call *Call) {
+	for _, cl := range call.claims {
 		cl.Ask.Returned = 0
 	}
-	c.waiting = append(c.sent, c.waiting...)
-	c.sent = nil
+	c.waiting = append(call.claims, c.waiting...)
 }
 
 // share is the part of a grant that is not given to a claim yet.
--- a/pkg/tokens/keeper.go
+++ b/pkg/tokens/keeper.go
@@ -148,18 +148,19 @@
 	return grants
 }
 
-// NextCall returns the asks of the next call to the parent, which is then under way until
-// EndCall. If there is none now, it returns when to try again; zero for no such time.
-func (k *Keeper) NextCall(now time.Time, withReturns bool) (asks []Ask, retryAt time.Time) {
+// NextCall returns the next call to the parent, which is then under way until EndCall. If
+// there is none now, the call is nil, and NextCall returns when to try again; zero for no
+// such time.
+func (k *Keeper) NextCall(now time.Time, withReturns bool) (call *Call, retryAt time.Time) {
 	if k.source.Parent == "" {
 		return nil, time.Time{}
 	}
 	return k.collector.Next(now, &k.stock, k.Nodes, withReturns)
 }
 
-// EndCall ends the call under way. answered is false if it failed.
-func (k *Keeper) EndCall(now time.Time, grants []Grant, answered bool) {
-	k.collector.End(now, &k.stock, grants, answered)
+// EndCall ends a call. answered is false if it failed.
+func (k *Keeper) EndCall(now time.Time, call *Call, grants []Grant, answered bool) {
+	k.collector.End(now, &k.stock, call, grants, answered)
 }
 
 // Upkeep must be called every ReturnInterval. It reports whether there are unused tokens
--- a/pkg/tokens/stock.go
+++ b/pkg/tokens/stock.go
@@ -35,8 +35,9 @@
 type holding struct {
 	// lots are the tokens in hand, in the order in which they expire.
 	lots []lot
-	// returned is the number of tokens to give back.
-	returned int
+	// returned is the number of tokens to give back, and asked that of the extra tokens in
+	// calls that are under way.
+	returned, asked int
 	// level is the average number of requests per second at the time usedAt.
 	level  float64
 	usedAt time.Time
@@ -115,7 +116,22 @@
 		return 0
 	}
 	h.expire(now)
-	return max(0, h.target(now)-h.inHand())
+	return max(0, h.target(now)-h.inHand()-h.asked)
+}
+
+// AskExtra is Extra for a call that is made now. EndExtra must be called when it ends.
+func (s *Stock) AskExtra(now time.Time, account mesh.Account) (n int) {
+	if n = s.Extra(now, account); n > 0 {
+		s.holding(account).asked += n
+	}
+	return n
+}
+
+// EndExtra records that a call ended that asked for extra tokens.
+func (s *Stock) EndExtra(account mesh.Account, n int) {
+	if h := s.accounts[account]; h != nil {
+		h.asked = max(0, h.asked-n)
+	}
 }
 
 // Low calls yield with the accounts that need extra tokens soon, each once after each use.
@@ -144,7 +160,7 @@
 			yield(name, h.returned)
 			h.returned = 0
 		}
-		if len(h.lots) == 0 && now.Sub(h.usedAt) > idleTime {
+		if len(h.lots) == 0 && h.asked == 0 && now.Sub(h.usedAt) > idleTime {
 			delete(s.accounts, name)
 		}
 	}
