Keep the owner's share while the tree of readers gets a level

Cause: a node that changed its parent reported to none for a second, as another owner might still count it.

Change: heartbeats name the owner behind a parent. A change to a parent of the same owner needs no wait, and a probe that reports more nodes is sent at once.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -123,6 +123,8 @@
 	// at which it fills them, within 0 and 1.
 	Owner bool
 	Share float64
+	// OwnerHost is the proxy that holds the buckets, as far as it is known.
+	OwnerHost mesh.HostID
 }
 
 // PendingReport is a report of the upstream that is not acknowledged yet.
--- a/internal/ctlmsg/ctlmsg.go
+++ b/internal/ctlmsg/ctlmsg.go
@@ -165,6 +165,9 @@
 	// ProbeSentAt is SentAt of the latest Probe that the sender received on this link;
 	// zero if there was none.
 	ProbeSentAt time.Duration
+	// TokenOwner is the owner of the quota tokens that the sender passes on; empty if it
+	// has none.
+	TokenOwner mesh.HostID
 }
 
 // Probe is sent regularly to the parents while the age of versions or quotas matter.
--- a/internal/ctrl/prober.go
+++ b/internal/ctrl/prober.go
@@ -11,6 +11,10 @@
 	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
+// minProbeInterval is the least time between two probes on a link if the number of nodes
+// that they report has changed.
+const minProbeInterval = 100 * time.Millisecond
+
 // prober sends probes to the parents. They echo them in their heartbeats, so that this
 // proxy knows how old a heartbeat is at most.
 type prober struct {
@@ -19,6 +23,8 @@
 	alarm board.Alarm
 	// sentAt holds the time of the last probe on each link to a parent.
 	sentAt map[cells.LinkID]time.Time
+	// reported holds the number of nodes in the last probe on each link.
+	reported map[cells.LinkID]int
 }
 
 func newProber(proxy *cells.Proxy, clock SuspensionClock) board.Controller {
@@ -42,25 +48,30 @@
 		parents = tree.Parents(self.Host, self.Place)
 	}
 	tracker := verify.Tracker{Started: probeOrigin(p.Proxy)}
-	sentAt := make(map[cells.LinkID]time.Time, len(parents))
+	sentAt, reported := make(map[cells.LinkID]time.Time, len(parents)), make(map[cells.LinkID]int, len(parents))
 	for _, peer := range p.Peers.Read().Identified() {
 		isSource := source.Host != "" && peer.Hello.Host == source.Host
 		isParent := slices.ContainsFunc(parents, func(n fleet.Node) bool { return n.Host == peer.Hello.Host })
 		if !peer.Dialed || !isSource && !isParent {
 			continue
 		}
-		sentAt[peer.Link] = p.sentAt[peer.Link]
-		if due := sentAt[peer.Link].Add(verify.ProbeInterval); now.Before(due) {
-			p.alarm.SetIfEarlier(due)
-			continue
-		}
-		probe := ctlmsg.Probe{SentAt: tracker.ProbeTime(verify.Moment{Time: now, Suspended: p.clock.Suspended()})}
+		sentAt[peer.Link], reported[peer.Link] = p.sentAt[peer.Link], p.reported[peer.Link]
+		probe := ctlmsg.Probe{}
 		if isSource {
 			probe.Nodes = source.Nodes
 		}
+		interval := verify.ProbeInterval
+		if probe.Nodes > reported[peer.Link] {
+			interval = minProbeInterval
+		}
+		if due := sentAt[peer.Link].Add(interval); now.Before(due) {
+			p.alarm.SetIfEarlier(due)
+			continue
+		}
+		probe.SentAt = tracker.ProbeTime(verify.Moment{Time: now, Suspended: p.clock.Suspended()})
 		proxySend(p.Proxy, peer.Link, probe)
-		sentAt[peer.Link] = now
+		sentAt[peer.Link], reported[peer.Link] = now, probe.Nodes
 		p.alarm.SetIfEarlier(now.Add(verify.ProbeInterval))
 	}
-	p.sentAt = sentAt
+	p.sentAt, p.reported = sentAt, reported
 }
--- a/internal/ctrl/publisher.go
+++ b/internal/ctrl/publisher.go
@@ -62,7 +62,7 @@
 	return board.Controller{
 		Name:   "publisher",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ActiveVersion, &proxy.Roster, &proxy.Freshness, &p.alarm},
-		Uses:   []board.Ref{&proxy.Self, &proxy.Rollouts},
+		Uses:   []board.Ref{&proxy.Self, &proxy.Rollouts, &proxy.TokenSource},
 		Writes: []board.Ref{&proxy.LinkCommands, &proxy.LogEvents, &p.alarm},
 		Step:   p.step,
 	}
@@ -215,6 +215,7 @@
 		Version: p.ActiveVersion.Get().Plan.Version(), Current: loaded && !p.lastConfirmed.IsZero() && age < maxHeartbeatAge, Age: age,
 		Revision: p.Freshness.Get().Revision,
 	}
+	message.TokenOwner = p.TokenSource.Get().OwnerHost
 	enabled := p.Self.Get().Revocation > 0
 	if verified := p.Freshness.Get().Verified(); enabled && !verified.IsZero() {
 		// The age is that of now, which is after all probes in p.probes were received.
--- a/internal/ctrl/tokensource.go
+++ b/internal/ctrl/tokensource.go
@@ -28,12 +28,14 @@
 	rootsLostAt time.Time
 	// dialedAt contains the time of the last dial to each root.
 	dialedAt map[mesh.HostID]time.Time
+	// owners contains the owner that the far end of each link gets its tokens from.
+	owners map[cells.LinkID]mesh.HostID
 	// wasOwner is whether the log says that this proxy is the owner.
 	wasOwner bool
 }
 
 func newTokenSource(proxy *cells.Proxy) board.Controller {
-	s := &tokenSource{Proxy: proxy, dialedAt: make(map[mesh.HostID]time.Time)}
+	s := &tokenSource{Proxy: proxy, dialedAt: make(map[mesh.HostID]time.Time), owners: make(map[cells.LinkID]mesh.HostID)}
 	return board.Controller{
 		Name:   "tokenSource",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.Peers, &proxy.Roster, &proxy.Tree, &s.alarm},
@@ -58,7 +60,8 @@
 		Contacts:  nodes,
 		Owner:     s.shouldOwn(candidates, isRoot, preferred, now),
 		Preferred: preferred, Reachable: s.isLinked(s.selector.Host()),
-		Hold: tokens.ReportAge * time.Duration(max(1, s.Tree.Get().Depth(s.Self.Get().Host, s.Self.Get().Place))),
+		SameOwner: preferred != "" && s.ownerOf(preferred) != "" && s.ownerOf(preferred) == s.TokenSource.Get().OwnerHost,
+		Hold:      tokens.ReportAge * time.Duration(max(1, s.Tree.Get().Depth(s.Self.Get().Host, s.Self.Get().Place))),
 	})
 	if !choice.Next.IsZero() {
 		s.alarm.SetIfEarlier(choice.Next)
@@ -66,9 +69,25 @@
 	s.publish(choice, nodes)
 }
 
-// countContacts records the reports of other proxies.
+// ownerOf returns the owner that a parent gets its tokens from; empty if it is not known.
+func (s *tokenSource) ownerOf(parent mesh.HostID) (owner mesh.HostID) {
+	for _, p := range s.Peers.Read().Identified() {
+		if p.Dialed && p.Hello.Host == parent && s.owners[p.Link] != "" {
+			owner = s.owners[p.Link]
+		}
+	}
+	return owner
+}
+
+// countContacts records the reports of other proxies, and the owners of parents.
 func (s *tokenSource) countContacts(now time.Time) {
 	for _, e := range s.LinkEvents.Events() {
+		if heartbeat, ok := e.Message.(ctlmsg.ReaderHeartbeat); ok {
+			s.owners[e.Link] = heartbeat.TokenOwner
+		}
+		if e.Kind == cells.LinkDown {
+			delete(s.owners, e.Link)
+		}
 		probe, ok := e.Message.(ctlmsg.Probe)
 		if !ok || e.Kind != cells.LinkMessage {
 			continue
@@ -160,6 +179,9 @@
 	if choice.Counted {
 		next.Nodes = 1 + nodes
 	}
+	if next.OwnerHost = s.ownerOf(choice.Host); choice.Owner {
+		next.OwnerHost = s.Self.Get().Host
+	}
 	if choice.Owner {
 		next.Share = min(1, float64(next.Nodes)/float64(max(1, s.Roster.Read().Len())))
 	}
--- a/internal/ctrl/tokensource_test.go
+++ b/internal/ctrl/tokensource_test.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -113,3 +114,30 @@
 		assert.Assert(t, !tree.IsRoot(l.dialer.host))
 	}
 }
+
+// TestShareHoldsWhileTheTreeGetsALevel guards against requests that are refused below their
+// quota because nodes change their parents, and are counted by nobody for a while, although
+// the owner stays the same.
+func TestShareHoldsWhileTheTreeGetsALevel(t *testing.T) {
+	const before, added = 94, 8
+	s := newSim(t, before)
+	s.enforceQuotas()
+	s.advanceWithQuotas(12 * time.Second)
+	for i := range added {
+		s.start(mesh.HostID(fmt.Sprintf("new%02d", i)), false)
+	}
+	s.enforceQuotas()
+	lowest := 1.0
+	for range 200 {
+		s.advanceWithQuotas(50 * time.Millisecond)
+		_, share := s.owners()
+		lowest = min(lowest, share)
+	}
+	deepest := 0
+	for _, p := range s.proxies {
+		deepest = max(deepest, p.cells.Tree.Load().Depth(p.host, p.cells.Self.Load().Place))
+	}
+	assert.Assert(t, deepest > 1, "the tree has %d levels", deepest)
+	// New nodes are counted a second after their start.
+	assert.Assert(t, lowest > 0.85, "%.3f", lowest)
+}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -116,7 +116,7 @@
 
 func encodeReaderHeartbeat(m ctlmsg.ReaderHeartbeat) *Pulse {
 	pulse := &Pulse{
-		Version: uint64(m.Version), Reached: m.Current, AgeMicros: m.Age.Microseconds(), Revision: m.Revision, ProbeMicros: m.ProbeSentAt.Microseconds(),
+		Version: uint64(m.Version), Reached: m.Current, AgeMicros: m.Age.Microseconds(), Revision: m.Revision, ProbeMicros: m.ProbeSentAt.Microseconds(), TokenOwner: string(m.TokenOwner),
 	}
 	if m.Verified {
 		pulse.VerifiedAgeMicros = m.VerifiedAge.Microseconds() + 1
@@ -129,7 +129,7 @@
 		Version: mesh.Version(p.GetVersion()), Current: p.GetReached(),
 		Age: time.Duration(max(0, p.GetAgeMicros())) * time.Microsecond, Revision: p.GetRevision(),
 		Verified: p.GetVerifiedAgeMicros() > 0, VerifiedAge: time.Duration(max(0, p.GetVerifiedAgeMicros())) * time.Microsecond,
-		ProbeSentAt: time.Duration(max(0, p.GetProbeMicros())) * time.Microsecond,
+		ProbeSentAt: time.Duration(max(0, p.GetProbeMicros())) * time.Microsecond, TokenOwner: mesh.HostID(p.GetTokenOwner()),
 	}
 }
 
--- a/pkg/tokens/selector.go
+++ b/pkg/tokens/selector.go
@@ -14,6 +14,9 @@
 	Preferred mesh.HostID
 	// Reachable is true if the parent chosen before is reachable.
 	Reachable bool
+	// SameOwner is true if Preferred gets its tokens from the same owner as the parent
+	// chosen before.
+	SameOwner bool
 	// Contacts is the number of nodes that report to this one.
 	Contacts int
 	// Hold is how long the former owner may count this node after its last report.
@@ -67,6 +70,8 @@
 			s.owningUntil = now.Add(handoverHolds * situation.Hold)
 		}
 		return Choice{Owner: true, Counted: true, Next: s.owningUntil}
+	case s.movesWithinOwner(now, preferred, situation):
+		*s = Selector{started: true, host: preferred, countedFrom: s.countedFrom}
 	case s.host != "" && situation.Reachable && now.Before(countedFrom) && !now.Before(s.countedFrom):
 		s.leavingUntil = countedFrom
 		return Choice{Host: s.host, Next: countedFrom}
@@ -79,6 +84,13 @@
 	return Choice{Host: s.host, Owner: s.owner, Counted: true}
 }
 
+// movesWithinOwner reports whether another parent passes on the tokens of the same owner,
+// as when the tree gets another level. That owner may count the node through both for a
+// moment, since it fills its buckets at no more than the full rate.
+func (s *Selector) movesWithinOwner(now time.Time, preferred mesh.HostID, situation Situation) bool {
+	return situation.SameOwner && s.host != "" && preferred != "" && !situation.Owner && !now.Before(s.countedFrom)
+}
+
 // handsOver reports whether the node goes on to own the buckets for a while, although it
 // reaches another owner. Each of the nodes that report to it is counted by one owner at a
 // time, so both may fill their buckets.
