Pass calls of other proxies to the upstream that they are for

A fault of the merge of quotas and rollouts: calls for tokens are taken out before the others reach the upstreams, and that handler passed them to the first upstream of the host, whatever their release. A completed move left half of the requests with the old upstream, and a bad version was completed.

--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -12,7 +12,7 @@
 	if settings := p.settings.Load(); settings.Quota.Window > 0 {
 		p.quotas.Start(settings.Host)
 	}
-	return &grants.Handler{Quotas: &p.quotas, Next: &p.handler}
+	return &grants.Handler{Quotas: &p.quotas, Next: upstreamDispatcher{p}}
 }
 
 // quotaGauges returns the gauges of quotas; none if they are not enforced.
