--- a/internal/cells/object.go
+++ b/internal/cells/object.go
@@ -49,6 +49,8 @@
 	// Revision is the revision up to which the objects are known, from which WatchObjects
 	// continues; zero if they must be listed first.
 	Revision uint64
+	// Era is the era of the store to which Version and Revision belong.
+	Era uint64
 	// SlowRetry makes WatchObjects retry failures at longer intervals. It is set if
 	// only this proxy waits for the objects.
 	SlowRetry bool
@@ -60,12 +62,19 @@
 	Name    string
 	Value   []byte
 	Version uint64
+	// Era is the era of the store in which the object was read or written.
+	Era     uint64
 	Deleted bool
 	// Malformed is why the object could not be decoded; nil if it was. Value is then
 	// empty, and so is Name if even that could not be decoded.
 	Malformed error
 }
 
+// Time returns the logical time of the last write to the object.
+func (o Object) Time() mesh.StoreTime {
+	return mesh.StoreTime{Era: o.Era, Revision: o.Version}
+}
+
 // ObjectEvent is a response of the platform.
 type ObjectEvent struct {
 	Action ObjectAction
@@ -77,6 +86,9 @@
 	Objects  []Object
 	// Revision is the platform revision up to which Objects is complete.
 	Revision uint64
+	// Era is the era of the store to which Objects and Revision belong; if Result is not
+	// StoreDone, the highest one that the store has told.
+	Era uint64
 	// CalledAt is a moment before the call that this responds to; set for WatchObjects if
 	// Result is StoreDone. Objects contains every change accepted before it that earlier
 	// events of the kind did not report.
--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -65,6 +65,10 @@
 	ReadsPlatform board.Cell[bool]
 	// Tree determines which nodes receive versions and records from which others.
 	Tree board.Cell[*fleet.Tree]
+	// StoreEra is the highest era of the store that this proxy knows, from the store or
+	// from another proxy; zero if the platform counts none. Responses and messages of a
+	// lower era are ignored.
+	StoreEra board.Cell[uint64]
 	// Freshness tells when this proxy's versions and records were last known to be current.
 	// The verifier writes VerifiedAt and SuspendedBefore, the sourceSelector the rest.
 	Freshness board.Cell[Freshness]
@@ -162,6 +166,9 @@
 	Node fleet.Node
 	// Version is the version of the object; zero if there is none.
 	Version uint64
+	// Outdated is true if the store was restored and its object is not known to be Node:
+	// it is older or missing.
+	Outdated bool
 }
 
 // PlatformStatus is the reachability of the platform.
@@ -185,8 +192,12 @@
 	// ConfirmedAt is the time of the last confirmation that a reader passed on; zero if
 	// there was none.
 	ConfirmedAt time.Time
-	// Revision is the platform revision up to which all versions are known.
+	// Revision is the platform revision, of the era in the cell StoreEra, up to which all
+	// versions are known; zero if there is none.
 	Revision uint64
+	// Behind is true while the store, which was restored from a copy, is not known to have
+	// the version in force or a later one. What it says confirms nothing then.
+	Behind bool
 	// VerifiedAt is the latest time of which it is certain that every version accepted
 	// before it is known here; zero if there is none. Unlike ConfirmedAt, it is dated from
 	// before the call to the platform, and includes the time on the way from a reader.
@@ -202,8 +213,17 @@
 }
 
 // LastConfirmed returns the time at which the data was last known to be current; zero if
-// it never was.
+// it never was, or if Behind is true.
 func (f Freshness) LastConfirmed(now time.Time) time.Time {
+	if f.Behind {
+		return time.Time{}
+	}
+	return f.LastRead(now)
+}
+
+// LastRead returns the time at which the data was last known to contain all that the store
+// had, even if Behind is true; zero if it never was.
+func (f Freshness) LastRead(now time.Time) time.Time {
 	if f.Direct {
 		return now
 	}
@@ -219,6 +239,10 @@
 	Since time.Time
 	// Source is the reader that sent the version; empty if it was read from the platform.
 	Source mesh.HostID
+	// Era is the highest era of the store in which it had this version or a later one. If
+	// it is lower than the current era, the store may have been restored from a copy that
+	// is older than the version.
+	Era uint64
 	// RefusalReason is why the newest document was refused; empty if it was not.
 	RefusalReason string
 	// RefusedVersion is the version of the refused document; zero if it is unknown.
--- a/internal/cells/roster.go
+++ b/internal/cells/roster.go
@@ -9,26 +9,43 @@
 
 // RosterEntry is the record of one node as stored in the platform.
 type RosterEntry struct {
+	// Node is marked as leaving if Retired is true.
 	Node fleet.Node
-	// Version is the version of the object.
+	// Version is the version of the object, and Era the era of the store to which it
+	// belongs. An Era below that of the roster means that the store lost the object when
+	// it was restored.
 	Version uint64
+	Era     uint64
+	// Written is when Record was written. It differs from Era and Version if the object
+	// is an older one from the copy of which the store was restored.
+	Written mesh.StoreTime
+	// Retired is true if the object was removed before the store was restored, and exists
+	// again only because the copy has it.
+	Retired bool
 	// Record is the encoded record.
 	Record []byte
 }
 
+// Time returns the logical time of the last write to the object.
+func (e RosterEntry) Time() mesh.StoreTime {
+	return mesh.StoreTime{Era: e.Era, Revision: e.Version}
+}
+
 // Roster contains the records of all nodes. The zero Roster is empty.
 type Roster struct {
 	// Loaded is true once the roster was complete.
 	Loaded bool
 	// Revision is the platform revision up to which the roster is complete.
 	Revision uint64
+	// Era is the era of the store to which Revision belongs.
+	Era     uint64
 	entries  map[mesh.HostID]RosterEntry
 	// addressOwners contains the host with the latest record of each address.
 	addressOwners map[netip.AddrPort]mesh.HostID
-	// removedVersions contains the versions at which records were removed.
-	removedVersions map[mesh.HostID]uint64
+	// removedAt contains the times at which records were removed.
+	removedAt map[mesh.HostID]mesh.StoreTime
 	// unreadableVersions contains the versions of the objects that exist but contain
-	// no record. These hosts have no entry.
+	// no record, all of the roster's era. These hosts have no entry.
 	unreadableVersions map[mesh.HostID]uint64
 	// changes lists the hosts whose records changed, oldest first. It contains at
 	// most maxRosterChanges entries.
@@ -41,16 +58,38 @@
 // other nodes.
 const maxRosterChanges = 4096
 
-// Put adds or replaces a record unless a later version or removal is known.
+// BeginEra begins an era of the store that is higher than the roster's. The records are
+// kept: those of the copy from which the store was restored may be older. All of them
+// count as changed.
+func (r *Roster) BeginEra(era uint64) {
+	r.Era, r.Revision = era, 0
+	r.unreadableVersions = nil
+	r.trimmed += len(r.changes) + 1
+	r.changes = nil
+}
+
+// Put adds or replaces a record unless a later version or removal is known. Of an object
+// that is older than the known record, because the store was restored, only the version
+// is taken. If the object had been removed before that, it is marked as retired.
 func (r *Roster) Put(entry RosterEntry) (changed bool) {
 	host := entry.Node.Host
 	old, known := r.entries[host]
-	if known && old.Version >= entry.Version {
+	if known && !supersedes(entry, old) {
 		return false
 	}
-	if r.removedVersions[host] >= entry.Version && r.removedVersions[host] > 0 {
-		return false
+	if removedAt, found := r.removedAt[host]; found {
+		switch {
+		case removedAt.Era >= entry.Era && !entry.Time().After(removedAt):
+			return false
+		case removedAt.Era < entry.Era && !entry.Written.After(removedAt):
+			entry.Retired = true
+		}
+	}
+	if known && entry.Era > old.Era && old.Written.After(entry.Written) {
+		entry.Node, entry.Record, entry.Written, entry.Retired = old.Node, old.Record, old.Written, old.Retired
 	}
+	entry.Node.Leaving = entry.Node.Leaving || entry.Retired
+	delete(r.removedAt, host)
 	if r.entries == nil {
 		r.entries = make(map[mesh.HostID]RosterEntry)
 	}
@@ -64,11 +103,21 @@
 	return true
 }
 
+// supersedes reports whether an entry replaces another one of the host. Of two entries of
+// the same object, the one with the later record does: readers may know different records
+// that are later than the object of a restored store.
+func supersedes(entry, old RosterEntry) bool {
+	if order := entry.Time().Compare(old.Time()); order != 0 {
+		return order > 0
+	}
+	return entry.Written.After(old.Written)
+}
+
 // claimAddress makes the record's host the owner of its address unless another host
 // has a later record with the address.
 func (r *Roster) claimAddress(entry RosterEntry) {
 	address, host := entry.Node.Address, entry.Node.Host
-	if owner := r.entries[r.addressOwners[address]]; owner.Version > entry.Version {
+	if owner := r.entries[r.addressOwners[address]]; owner.Time().After(entry.Time()) {
 		return
 	}
 	if r.addressOwners == nil {
@@ -79,10 +128,10 @@
 
 // releaseAddress finds the new owner of an address that a host no longer uses.
 func (r *Roster) releaseAddress(address netip.AddrPort) {
-	owner, version := mesh.HostID(""), uint64(0)
+	owner, latest := mesh.HostID(""), mesh.StoreTime{}
 	for host, e := range r.entries {
-		if e.Node.Address == address && e.Version > version {
-			owner, version = host, e.Version
+		if e.Node.Address == address && e.Time().After(latest) {
+			owner, latest = host, e.Time()
 		}
 	}
 	if owner == "" {
@@ -92,17 +141,17 @@
 	r.addressOwners[address] = owner
 }
 
-// Remove removes a record unless its version is later than the given one.
-func (r *Roster) Remove(host mesh.HostID, version uint64) (changed bool) {
+// Remove removes a record unless its object was written after the given time.
+func (r *Roster) Remove(host mesh.HostID, at mesh.StoreTime) (changed bool) {
 	old, ok := r.entries[host]
-	if ok && old.Version > version {
+	if ok && old.Time().After(at) {
 		return false
 	}
-	if r.removedVersions == nil {
-		r.removedVersions = make(map[mesh.HostID]uint64)
+	if r.removedAt == nil {
+		r.removedAt = make(map[mesh.HostID]mesh.StoreTime)
 	}
-	r.removedVersions[host] = max(r.removedVersions[host], version)
-	if r.unreadableVersions[host] <= version {
+	r.removedAt[host] = r.removedAt[host].Latest(at)
+	if at.Era == r.Era && r.unreadableVersions[host] <= at.Revision {
 		delete(r.unreadableVersions, host)
 	}
 	if !ok {
@@ -114,14 +163,15 @@
 	return true
 }
 
-// MarkUnreadable removes a record whose object was replaced, at the version, by one that
+// MarkUnreadable removes a record whose object was replaced, at the version of the roster's era, by one that
 // contains no record. It returns false if the object was already known or a later
 // version is.
 func (r *Roster) MarkUnreadable(host mesh.HostID, version uint64) (changed bool) {
-	if r.entries[host].Version > version || r.removedVersions[host] > version || r.unreadableVersions[host] >= version {
+	at := mesh.StoreTime{Era: r.Era, Revision: version}
+	if r.entries[host].Time().After(at) || r.removedAt[host].After(at) || r.unreadableVersions[host] >= version {
 		return false
 	}
-	r.Remove(host, version)
+	r.Remove(host, at)
 	if r.unreadableVersions == nil {
 		r.unreadableVersions = make(map[mesh.HostID]uint64)
 	}
@@ -150,9 +200,9 @@
 	return entry, ok
 }
 
-// RemovedVersion returns the version at which the record of a host was removed.
-func (r *Roster) RemovedVersion(host mesh.HostID) uint64 {
-	return r.removedVersions[host]
+// RemovedAt returns the time at which the record of a host was removed.
+func (r *Roster) RemovedAt(host mesh.HostID) mesh.StoreTime {
+	return r.removedAt[host]
 }
 
 // Len returns the number of records.
--- a/internal/cells/roster_test.go
+++ b/internal/cells/roster_test.go
@@ -41,7 +41,7 @@
 			var r cells.Roster
 			for _, c := range tt.changes {
 				if c.address == "" {
-					r.Remove(c.host, c.version)
+					r.Remove(c.host, mesh.StoreTime{Revision: c.version})
 					continue
 				}
 				r.Put(cells.RosterEntry{Version: c.version, Node: fleet.Node{Host: c.host, Address: netip.MustParseAddrPort(c.address)}})
--- a/internal/ctlmsg/ctlmsg.go
+++ b/internal/ctlmsg/ctlmsg.go
@@ -141,6 +141,9 @@
 	// Version is the version that the sender has; zero if it has none or requests
 	// the full document.
 	Version mesh.Version
+	// DocumentOnly is true if the sender requests the document of a later version once,
+	// and neither records nor heartbeats.
+	DocumentOnly bool
 }
 
 // ReaderHeartbeat is sent regularly by a reader, so that its subscribers know that
@@ -157,6 +160,10 @@
 	Age time.Duration
 	// Revision is the platform revision up to which the sender knows all versions.
 	Revision uint64
+	// Era is the highest era of the store that the sender knows, to which Revision belongs.
+	Era uint64
+	// VersionEra is the highest era in which the store had Version or a later one.
+	VersionEra uint64
 	// Verified is true if the sender has a confirmation that is dated from before the
 	// call to the platform, and VerifiedAge is its age when the heartbeat was sent.
 	Verified    bool
@@ -185,12 +192,16 @@
 	Base mesh.Version
 	// Compressed is the compressed document.
 	Compressed []byte
+	// Era is the highest era in which the store had the version.
+	Era uint64
 }
 
 // Roster carries the stored records of nodes.
 type Roster struct {
 	// Revision is the platform revision up to which the entries are complete.
 	Revision uint64
+	// Era is the era of the store to which Revision belongs.
+	Era uint64
 	// Complete is true if hosts that are not listed have no record.
 	Complete bool
 	Entries  []RosterEntry
@@ -201,6 +212,14 @@
 	Host mesh.HostID
 	// Version is the object version of the record in the platform.
 	Version uint64
+	// Era is the era of the store to which Version belongs. It is lower than that of the
+	// roster if the store lost the object when it was restored.
+	Era uint64
+	// Written is when Record was written. It differs from Era and Version if the restored
+	// store has an older record.
+	Written mesh.StoreTime
+	// Retired is true if the object was removed before the store was restored.
+	Retired bool
 	// Record is the record as stored in the platform; empty if it was deleted.
 	Record []byte
 }
--- a/internal/ctrl/proxy.go
+++ b/internal/ctrl/proxy.go
@@ -35,6 +35,7 @@
 	controllers := []board.Controller{
 		newPlatformStatus(proxy),
 		newHandshake(proxy),
+		newStoreEra(proxy),
 		newRosterUpdater(proxy, codec),
 		newProxyUpstream(proxy),
 		newRecordWriter(proxy, source),
--- a/internal/ctrl/proxyupstream.go
+++ b/internal/ctrl/proxyupstream.go
@@ -170,7 +170,7 @@
 // passed.
 func (u *proxyUpstream) acknowledge(now time.Time) {
 	recorded, upstream := u.StoredRecord.Get().Node.Upstream, u.tracker.Upstream()
-	isRecorded := recorded.Instance == upstream.Instance && recorded.StartedAt.Equal(upstream.StartedAt) && recorded.State == upstream.State
+	isRecorded := !u.StoredRecord.Get().Outdated && recorded.Instance == upstream.Instance && recorded.StartedAt.Equal(upstream.StartedAt) && recorded.State == upstream.State
 	remaining := u.pendingAcks[:0]
 	for _, p := range u.pendingAcks {
 		if !isRecorded && now.Before(p.deadline) {
--- a/internal/ctrl/publisher.go
+++ b/internal/ctrl/publisher.go
@@ -62,7 +62,7 @@
 	return board.Controller{
 		Name:   "publisher",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ActiveVersion, &proxy.Roster, &proxy.Freshness, &p.alarm},
-		Uses:   []board.Ref{&proxy.Self},
+		Uses:   []board.Ref{&proxy.Self, &proxy.StoreEra},
 		Writes: []board.Ref{&proxy.LinkCommands, &proxy.LogEvents, &p.alarm},
 		Step:   p.step,
 	}
@@ -95,6 +95,12 @@
 	if !ok {
 		return
 	}
+	if request.DocumentOnly {
+		if p.ActiveVersion.Get().Plan.Version() > request.Version {
+			p.sendDocument(e.Link, &subscriber{version: request.Version})
+		}
+		return
+	}
 	if known := p.subscribers[e.Link]; known != nil {
 		known.version = request.Version
 		return
@@ -129,6 +135,12 @@
 	if active.Plan.Version() <= s.version {
 		return
 	}
+	p.sendDocument(link, s)
+}
+
+// sendDocument sends the version in force.
+func (p *publisher) sendDocument(link cells.LinkID, s *subscriber) {
+	active := p.ActiveVersion.Get()
 	base, compressed, err := p.compress(s.version)
 	if err != nil {
 		p.LogEvents.Send(cells.LogEvent{Name: "versionPackFailed", Fields: []cells.LogField{
@@ -137,7 +149,7 @@
 		return
 	}
 	s.version = active.Plan.Version()
-	proxySend(p.Proxy, link, ctlmsg.Document{Version: s.version, Base: base, Compressed: compressed})
+	proxySend(p.Proxy, link, ctlmsg.Document{Version: s.version, Base: base, Compressed: compressed, Era: active.Era})
 }
 
 // compress returns the compressed document in force. If the version that the far end
@@ -173,16 +185,20 @@
 	if s.rosterPosition >= 0 {
 		hosts, known = roster.ChangedSince(s.rosterPosition)
 	}
-	message := ctlmsg.Roster{Revision: roster.Revision, Complete: !known}
+	message := ctlmsg.Roster{Revision: roster.Revision, Era: roster.Era, Complete: !known}
 	if !known {
 		hosts = roster.Hosts()
 	}
 	for _, h := range hosts {
 		entry, found := roster.Get(h)
 		if !found {
-			entry.Version = roster.RemovedVersion(h)
+			removedAt := roster.RemovedAt(h)
+			entry.Version, entry.Era = removedAt.Revision, removedAt.Era
+			entry.Written = entry.Time()
 		}
-		message.Entries = append(message.Entries, ctlmsg.RosterEntry{Host: h, Version: entry.Version, Record: entry.Record})
+		message.Entries = append(message.Entries, ctlmsg.RosterEntry{
+			Host: h, Version: entry.Version, Era: entry.Era, Written: entry.Written, Retired: entry.Retired, Record: entry.Record,
+		})
 	}
 	s.rosterPosition = roster.Position()
 	proxySend(p.Proxy, link, message)
@@ -208,12 +224,12 @@
 // sendHeartbeats sends a heartbeat to each subscriber. It says that the data is current
 // only if it is complete and a source has confirmed it recently.
 func (p *publisher) sendHeartbeats(now time.Time) {
-	p.lastHeartbeatAt, p.lastConfirmed = now, p.Freshness.Get().LastConfirmed(now)
+	p.lastHeartbeatAt, p.lastConfirmed = now, p.Freshness.Get().LastRead(now)
 	age := now.Sub(p.lastConfirmed)
 	loaded := p.ActiveVersion.Get().Plan != nil && p.Roster.Read().Loaded
 	message := ctlmsg.ReaderHeartbeat{
 		Version: p.ActiveVersion.Get().Plan.Version(), Current: loaded && !p.lastConfirmed.IsZero() && age < maxHeartbeatAge, Age: age,
-		Revision: p.Freshness.Get().Revision,
+		Revision: p.Freshness.Get().Revision, Era: p.StoreEra.Get(), VersionEra: p.ActiveVersion.Get().Era,
 	}
 	enabled := p.Self.Get().Revocation > 0
 	if verified := p.Freshness.Get().Verified(); enabled && !verified.IsZero() {
--- a/internal/ctrl/recordwriter.go
+++ b/internal/ctrl/recordwriter.go
@@ -19,6 +19,10 @@
 	// previous process while its upstream has neither reported nor been confirmed by
 	// a health check.
 	firstReportTimeout = 2 * time.Second
+	// rewriteSpread is the time over which all proxies spread the writes of their records
+	// after the store was restored. 200 proxies then make 250 writes per second, and
+	// records are back within two seconds.
+	rewriteSpread = 800 * time.Millisecond
 )
 
 // recordWriter keeps this proxy's record in the platform up to date, and writes it
@@ -34,10 +38,16 @@
 	conflicted bool
 	// retryAt is when a failed write is retried; zero if the last one succeeded.
 	retryAt time.Time
+	// source is the source of jitter.
+	source rand.Source
+	// era is the era of the roster at the last step, and rewriteAt the time at which the
+	// record is written again because a new era began.
+	era       uint64
+	rewriteAt time.Time
 }
 
 func newRecordWriter(proxy *cells.Proxy, source rand.Source) board.Controller {
-	w := &recordWriter{Proxy: proxy, backoff: relay.Backoff{Initial: minWriteBackoff, Max: maxWriteBackoff, Source: source}}
+	w := &recordWriter{Proxy: proxy, source: source, backoff: relay.Backoff{Initial: minWriteBackoff, Max: maxWriteBackoff, Source: source}}
 	return board.Controller{
 		Name:   "recordWriter",
 		Reads:  []board.Ref{&proxy.ObjectEvents, &proxy.Roster, &proxy.LocalUpstream, &proxy.Phase, &proxy.PlatformStatus, &w.alarm},
@@ -57,8 +67,12 @@
 	if !roster.Loaded {
 		return
 	}
+	if roster.Era != w.era && w.StoredRecord.Get().Loaded {
+		w.rewriteAt = now.Add(time.Duration(rand.New(w.source).Int64N(int64(rewriteSpread))))
+	}
+	w.era = roster.Era
 	entry, found := roster.Get(w.Self.Get().Host)
-	stored := cells.StoredRecord{Loaded: true, Node: entry.Node, Version: entry.Version}
+	stored := cells.StoredRecord{Loaded: true, Node: entry.Node, Version: entry.Version, Outdated: entry.Written.Era < entry.Era || entry.Era < roster.Era}
 	if stored != w.StoredRecord.Get() {
 		w.StoredRecord.Set(stored)
 	}
@@ -67,7 +81,7 @@
 
 func (w *recordWriter) handleWrite(e cells.ObjectEvent, now time.Time) {
 	w.writing = false
-	newer := e.Result == cells.StoreConflict && e.Current.Version > e.Command.Version
+	newer := e.Result == cells.StoreConflict && e.Current.Era == e.Command.Era && e.Current.Version > e.Command.Version
 	switch {
 	case e.Result == cells.StoreDone:
 		w.conflicted = false
@@ -87,6 +101,13 @@
 		return
 	}
 	earliest := w.retryAt
+	if sameEra := desired; found {
+		// Nothing but the era changed, so the write may wait.
+		sameEra.StoreEra = entry.Node.StoreEra
+		if equalRecords(entry.Node, sameEra) {
+			earliest = latest(earliest, w.rewriteAt)
+		}
+	}
 	if upstream := w.LocalUpstream.Get(); found && (upstream.Instance == "" || upstream.Unconfirmed) && !desired.Leaving {
 		earliest = latest(earliest, w.Self.Get().StartedAt.Add(firstReportTimeout))
 	}
@@ -95,12 +116,12 @@
 		return
 	}
 	w.writing = true
-	version := entry.Version
-	if !found {
-		version = w.Roster.Read().UnreadableVersion(desired.Host)
+	roster, version := w.Roster.Read(), entry.Version
+	if !found || entry.Era < roster.Era {
+		version = roster.UnreadableVersion(desired.Host)
 	}
 	w.ObjectCommands.Send(cells.ObjectCommand{
-		Action: cells.PutRecord, Kind: cells.RecordObjects, Host: desired.Host, Node: desired, Version: version,
+		Action: cells.PutRecord, Kind: cells.RecordObjects, Host: desired.Host, Node: desired, Version: version, Era: roster.Era,
 	})
 }
 
@@ -115,7 +136,7 @@
 func (w *recordWriter) desiredRecord() fleet.Node {
 	self := w.Self.Get()
 	return fleet.Node{
-		Host: self.Host, Place: self.Place, Address: self.Address, PlatformRTT: w.PlatformStatus.Get().RTT, LinkRate: self.LinkRate,
+		Host: self.Host, Place: self.Place, Address: self.Address, PlatformRTT: w.PlatformStatus.Get().RTT, LinkRate: self.LinkRate, StoreEra: w.Roster.Read().Era,
 		Leaving: w.Phase.Get() == cells.Withdrawn || w.Phase.Get() == cells.Stopped, Upstream: w.LocalUpstream.Get().Upstream,
 	}
 }
--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -42,8 +42,8 @@
 	confirmedAt map[cells.LinkID]time.Time
 	// heardAt contains the time of the last heartbeat on each link, of any content.
 	heardAt map[cells.LinkID]time.Time
-	// revision is the platform revision up to which all versions are known.
-	revision uint64
+	// revision is the platform revision, of the era, up to which all versions are known.
+	revision, era uint64
 	// freshSince is the time since which confirmations have arrived in time; zero if
 	// the last one is too old.
 	freshSince time.Time
@@ -77,8 +77,8 @@
 	}
 	return board.Controller{
 		Name:   "sourceSelector",
-		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ObjectEvents, &proxy.Peers, &proxy.Roster, &s.alarm},
-		Uses:   []board.Ref{&proxy.Self, &proxy.ActiveVersion},
+		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ObjectEvents, &proxy.Peers, &proxy.Roster, &proxy.ActiveVersion, &s.alarm},
+		Uses:   []board.Ref{&proxy.Self, &proxy.StoreEra},
 		Writes: []board.Ref{&proxy.ReadsPlatform, &proxy.Tree, &proxy.Freshness, &proxy.LinkCommands, &proxy.ObjectCommands, &proxy.LogEvents, &s.alarm},
 		Step:   s.step,
 	}
@@ -88,11 +88,12 @@
 	if s.startedAt.IsZero() {
 		s.startedAt = now
 	}
+	s.enterEra()
 	for _, e := range s.LinkEvents.Events() {
 		s.handleLinkEvent(e, now)
 	}
 	for _, e := range s.ObjectEvents.Events() {
-		if e.Action == cells.WatchObjects && e.Kind == cells.VersionObjects {
+		if e.Era == s.era && e.Action == cells.WatchObjects && e.Kind == cells.VersionObjects {
 			s.answered = e.Result == cells.StoreDone && s.watchesVersions
 			s.revision = max(s.revision, e.Revision)
 		}
@@ -107,6 +108,22 @@
 	s.updateFreshness()
 }
 
+// enterEra begins a new era of the store. What is known of the versions in the store is of
+// the earlier era. Parents are told this proxy's version again, which they may lack if they
+// started after the store was restored.
+func (s *sourceSelector) enterEra() {
+	if s.era == s.StoreEra.Get() {
+		return
+	}
+	s.era, s.revision, s.answered = s.StoreEra.Get(), 0, false
+	clear(s.confirmedAt)
+	for link, formerSince := range s.subscribed {
+		if formerSince.IsZero() {
+			proxySend(s.Proxy, link, ctlmsg.Subscribe{Version: s.ActiveVersion.Get().Plan.Version()})
+		}
+	}
+}
+
 // selectParents selects the parents again if the roster or the set of unreachable hosts
 // changed.
 func (s *sourceSelector) selectParents(roster *cells.Roster, now time.Time) {
@@ -154,6 +171,9 @@
 
 func (s *sourceSelector) handleHeartbeat(link cells.LinkID, heartbeat ctlmsg.ReaderHeartbeat, now time.Time) {
 	s.heardAt[link] = now
+	if heartbeat.Era < s.era {
+		return
+	}
 	version := s.ActiveVersion.Get().Plan.Version()
 	if heartbeat.Current && heartbeat.Version >= version {
 		s.confirmedAt[link] = latest(s.confirmedAt[link], now.Add(-heartbeat.Age))
@@ -278,6 +298,7 @@
 func (s *sourceSelector) updateFreshness() {
 	next := s.Freshness.Get()
 	next.Direct, next.ConfirmedAt, next.Revision = s.watchesVersions && s.answered, latest(next.ConfirmedAt, s.lastConfirmed()), s.revision
+	next.Behind = s.ActiveVersion.Get().Plan != nil && s.ActiveVersion.Get().Era < s.era
 	if next != s.Freshness.Get() {
 		s.Freshness.Set(next)
 	}
@@ -291,7 +312,7 @@
 	}
 	s.setWatch(cells.VersionObjects, versions, s.watchesVersions, isRoot, known)
 	known = 0
-	if s.Roster.Read().Loaded {
+	if s.Roster.Read().Loaded && s.Roster.Read().Era == s.era {
 		known = s.Roster.Read().Revision
 	}
 	s.setWatch(cells.RecordObjects, records, s.watchesRecords, isRoot, known)
@@ -308,7 +329,7 @@
 func (s *sourceSelector) setWatch(kind cells.ObjectKind, wanted, active, isRoot bool, known uint64) {
 	switch {
 	case wanted && (!active || isRoot && !s.isRoot):
-		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.WatchObjects, Kind: kind, Revision: known, SlowRetry: !isRoot})
+		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.WatchObjects, Kind: kind, Revision: known, Era: s.era, SlowRetry: !isRoot})
 	case !wanted && active:
 		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.UnwatchObjects, Kind: kind})
 	}
--- a/internal/ctrl/sweeper.go
+++ b/internal/ctrl/sweeper.go
@@ -53,7 +53,7 @@
 		return
 	}
 	s.nextCheckAt = now.Add(livenessCheckInterval)
-	if !s.Tree.Get().IsReader(s.Self.Get().Host) || now.Sub(s.Freshness.Get().LastConfirmed(now)) > maxHeartbeatAge {
+	if !s.Tree.Get().IsReader(s.Self.Get().Host) || now.Sub(s.Freshness.Get().LastRead(now)) > maxHeartbeatAge {
 		clear(s.lastLinked)
 		return
 	}
@@ -101,10 +101,14 @@
 		return
 	}
 	entry, _ := s.Roster.Read().Get(host)
+	if entry.Era < s.Roster.Read().Era {
+		// The restored store has no such object, and rosterUpdater removes the record.
+		return
+	}
 	switch unlinked := now.Sub(lastLinked); {
 	case unlinked >= deadAfter:
 		delete(s.lastLinked, host)
-		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.DeleteRecord, Kind: cells.RecordObjects, Host: host, Version: entry.Version})
+		s.ObjectCommands.Send(cells.ObjectCommand{Action: cells.DeleteRecord, Kind: cells.RecordObjects, Host: host, Version: entry.Version, Era: entry.Era})
 		s.LogEvents.Send(cells.LogEvent{Name: "nodeSwept", Fields: []cells.LogField{
 			{Name: "node", Value: string(host)}, {Name: "silent", Value: unlinked}, {Name: "objectVersion", Value: entry.Version},
 		}})
--- a/internal/ctrl/verifier.go
+++ b/internal/ctrl/verifier.go
@@ -27,7 +27,7 @@
 	return board.Controller{
 		Name:   "verifier",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ObjectEvents, &proxy.ActiveVersion, &v.alarm},
-		Uses:   []board.Ref{&proxy.Self, &proxy.Snapshot},
+		Uses:   []board.Ref{&proxy.Self, &proxy.Snapshot, &proxy.StoreEra},
 		Writes: []board.Ref{&proxy.Freshness, &proxy.LogEvents, &v.alarm},
 		Step:   v.step,
 	}
@@ -39,22 +39,32 @@
 	}
 	moment := verify.Moment{Time: now, Suspended: v.clock.Suspended()}
 	v.tracker.Started = probeOrigin(v.Proxy)
+	if v.ActiveVersion.Get().Era >= v.StoreEra.Get() {
+		v.addConfirmations(moment)
+	}
+	v.publish()
+	v.logRefusals(moment)
+}
+
+// addConfirmations adds the confirmations that arrived. It must not be called while the
+// store, which was restored from a copy, is not known to have the version in force: the
+// store would confirm that nothing is newer than a version from which keys were revoked.
+func (v *verifier) addConfirmations(moment verify.Moment) {
+	era := v.StoreEra.Get()
 	for _, e := range v.ObjectEvents.Events() {
 		// A document that was refused as invalid leaves the version before it in force,
 		// and does not prevent the confirmation.
-		if e.Action == cells.WatchObjects && e.Kind == cells.VersionObjects && e.Result == cells.StoreDone {
+		if e.Action == cells.WatchObjects && e.Kind == cells.VersionObjects && e.Era == era && e.Result == cells.StoreDone {
 			v.tracker.AddCall(moment, e.CalledAt)
 		}
 	}
 	for _, e := range v.LinkEvents.Events() {
-		if h, ok := e.Message.(ctlmsg.ReaderHeartbeat); ok {
+		if h, ok := e.Message.(ctlmsg.ReaderHeartbeat); ok && h.Era >= era {
 			v.tracker.AddHeartbeat(moment, verify.Heartbeat{
 				Version: uint64(h.Version), Verified: h.Verified, Age: h.VerifiedAge, ProbeSentAt: h.ProbeSentAt,
 			}, uint64(v.Snapshot.Get().Plan.Version()))
 		}
 	}
-	v.publish()
-	v.logRefusals(moment)
 }
 
 // publish publishes the latest confirmation.
--- a/internal/depot/driver.go
+++ b/internal/depot/driver.go
@@ -16,6 +16,7 @@
 	"arbutusstep.example/arbutusstep/internal/repo"
 	"arbutusstep.example/arbutusstep/internal/sheet"
 	"arbutusstep.example/arbutusstep/internal/store"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
@@ -44,6 +45,8 @@
 
 // ObjectStore is the client of the platform's object store.
 type ObjectStore interface {
+	// Era returns the highest era of the store that a response had.
+	Era() uint64
 	List(ctx context.Context, prefix string) ([]store.Object, uint64, error)
 	Watch(ctx context.Context, prefix string, from uint64) ([]store.Event, uint64, error)
 	Create(ctx context.Context, key string, value []byte) (store.Object, error)
@@ -83,13 +86,21 @@
 	// cancelWatch holds the cancel functions of the running watches by kind; control
 	// thread only.
 	cancelWatch map[cells.ObjectKind]context.CancelFunc
+
+	mutex sync.Mutex
+	// era is the highest era that was noticed, and eraCtx ends when a higher one is;
+	// guarded by mutex.
+	era    uint64
+	eraCtx context.Context
+	endEra context.CancelFunc
 }
 
 // New returns a driver that runs until Close is called.
 func New(objectStore ObjectStore, events EventPoster, kinds Kinds, rtt func() time.Duration, clock SuspensionClock) *Driver {
 	ctx, cancel := context.WithCancel(context.Background())
+	eraCtx, endEra := context.WithCancel(ctx)
 	return &Driver{
-		store: objectStore, events: events, kinds: kinds, rtt: rtt, clock: clock, ctx: ctx, cancel: cancel,
+		eraCtx: eraCtx, endEra: endEra, store: objectStore, events: events, kinds: kinds, rtt: rtt, clock: clock, ctx: ctx, cancel: cancel,
 		cancelWatch: make(map[cells.ObjectKind]context.CancelFunc),
 	}
 }
@@ -107,7 +118,7 @@
 		d.stopWatch(command.Kind)
 		ctx, cancel := context.WithCancel(d.ctx)
 		d.cancelWatch[command.Kind] = cancel
-		d.running.Go(func() { d.watchKind(ctx, command.Kind, command.Revision, newBackoff(command)) })
+		d.running.Go(func() { d.watchKind(ctx, command, newBackoff(command)) })
 	case cells.UnwatchObjects:
 		d.stopWatch(command.Kind)
 	default:
@@ -147,11 +158,12 @@
 }
 
 // watchKind posts all objects of a kind and then their changes until the context ends.
-// If from is not zero, the objects are known up to that revision and are not listed. They
+// If the command has a revision, the objects are known up to it and are not listed. They
 // are listed again only if the platform no longer has the history of changes since the
-// last event.
-func (d *Driver) watchKind(ctx context.Context, kind cells.ObjectKind, from uint64, backoff store.Backoff) {
-	listed := from != 0
+// last event, or was restored from a copy.
+func (d *Driver) watchKind(ctx context.Context, command cells.ObjectCommand, backoff store.Backoff) {
+	kind, from := command.Kind, mesh.StoreTime{Era: command.Era, Revision: command.Revision}
+	listed := from.Revision != 0
 	for ctx.Err() == nil {
 		var err error
 		changes := 0
@@ -169,11 +181,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, store.ErrGone) {
+		if errors.Is(err, store.ErrGone) || errors.Is(err, store.ErrNewEra) {
 			listed = false
 			continue
 		}
-		d.post(cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Result: repo.ClassifyError(err), Err: err})
+		d.post(cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Result: repo.ClassifyError(err), Err: err, Era: d.store.Era()})
 		// The loop condition checks the context.
 		_ = backoff.Wait(ctx)
 	}
@@ -194,33 +206,45 @@
 }
 
 // list posts all objects of a kind and returns the revision from which to watch.
-func (d *Driver) list(ctx context.Context, kind cells.ObjectKind) (revision uint64, err error) {
+func (d *Driver) list(ctx context.Context, kind cells.ObjectKind) (at mesh.StoreTime, err error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	calledAt := d.now()
-	objects, revision, err := d.store.List(ctx, d.prefix(kind))
+	at.Era = d.store.Era()
+	objects, revision, err := d.store.List(store.WithEra(ctx, at.Era), d.prefix(kind))
+	d.noticeEra()
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return 0, err
+		return at, err
 	}
-	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: true, Revision: revision, CalledAt: calledAt}
+	at.Revision = revision
+	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: true, Revision: revision, Era: at.Era, CalledAt: calledAt}
 	for _, o := range objects {
 		event.Objects = append(event.Objects, newObject(o, false))
 	}
 	if !d.post(event) {
-		return 0, errEventQueueFull
+		return at, errEventQueueFull
 	}
-	return revision, nil
+	return at, nil
 }
 
-// watch posts the next changes of a kind. It returns their number and the revision
-// from which to continue.
-func (d *Driver) watch(ctx context.Context, kind cells.ObjectKind, from uint64) (next uint64, count int, err error) {
+// watch posts the next changes of a kind. It returns their number and the time from which
+// to continue.
+func (d *Driver) watch(ctx context.Context, kind cells.ObjectKind, from mesh.StoreTime) (next mesh.StoreTime, count int, err error) {
+	ctx, cancel := context.WithCancel(store.WithEra(ctx, from.Era))
+	defer cancel()
+	detach := context.AfterFunc(d.currentEra(), cancel)
+	defer detach()
 	calledAt := d.now()
-	changes, next, err := d.store.Watch(ctx, d.prefix(kind), from)
+	changes, revision, err := d.store.Watch(ctx, d.prefix(kind), from.Revision)
+	d.noticeEra()
+	if err != nil && d.store.Era() > from.Era {
+		return from, 0, fmt.Errorf("%w: %w", store.ErrNewEra, err)
+	}
 	if err != nil {
 		return from, 0, err
 	}
-	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Revision: next, CalledAt: calledAt}
+	next = mesh.StoreTime{Era: from.Era, Revision: revision}
+	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Revision: revision, Era: from.Era, CalledAt: calledAt}
 	for _, c := range changes {
 		event.Objects = append(event.Objects, newObject(c.Object, c.Deleted))
 	}
@@ -230,25 +254,44 @@
 	return next, len(changes), nil
 }
 
+// currentEra returns a context that ends once a higher era of the store is noticed.
+func (d *Driver) currentEra() context.Context {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.eraCtx
+}
+
+// noticeEra ends the watches of an earlier era if a response had a higher one.
+func (d *Driver) noticeEra() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if era := d.store.Era(); era > d.era {
+		d.era = era
+		d.endEra()
+		d.eraCtx, d.endEra = context.WithCancel(d.ctx)
+	}
+}
+
 func newObject(o store.Object, deleted bool) cells.Object {
-	return cells.Object{Name: o.Key[strings.IndexByte(o.Key, '/')+1:], Value: o.Value, Version: o.Version, Deleted: deleted, Malformed: o.Malformed}
+	return cells.Object{Name: o.Key[strings.IndexByte(o.Key, '/')+1:], Value: o.Value, Version: o.Version, Era: o.Era, Deleted: deleted, Malformed: o.Malformed}
 }
 
 // write executes a write command and posts its result.
 func (d *Driver) write(command cells.ObjectCommand) {
-	ctx, cancel := context.WithTimeout(d.ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(store.WithEra(d.ctx, command.Era), writeTimeout)
 	defer cancel()
 	event := cells.ObjectEvent{Action: command.Action, Kind: command.Kind, Command: command}
 	current, err := d.execute(ctx, command)
+	d.noticeEra()
 	event.Current = current
 	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict) && conflict.HasCurrent:
 		event.Current = newObject(conflict.Current, false)
 	case errors.Is(err, store.ErrNotFound):
-		event.Current = cells.Object{Name: string(command.Host), Version: max(1, command.Version), Deleted: true}
+		event.Current = cells.Object{Name: string(command.Host), Version: max(1, command.Version), Era: command.Era, Deleted: true}
 	}
-	event.Result, event.Err = repo.ClassifyError(err), err
+	event.Result, event.Err, event.Era = repo.ClassifyError(err), err, d.store.Era()
 	d.post(event)
 }
 
@@ -263,7 +306,7 @@
 		if err = d.store.Delete(ctx, key, command.Version); err != nil {
 			return current, err
 		}
-		return cells.Object{Name: string(command.Host), Version: command.Version, Deleted: true}, nil
+		return cells.Object{Name: string(command.Host), Version: command.Version, Era: command.Era, Deleted: true}, nil
 	}
 	value, err := sheet.EncodeNode(command.Node)
 	if err != nil {
--- a/internal/depot/driver_test.go
+++ b/internal/depot/driver_test.go
@@ -31,6 +31,8 @@
 	// watch blocks until its context ends.
 	listErrors  []error
 	watchErrors []error
+	// era is the era of the store.
+	era uint64
 	// writeError is returned by every write.
 	writeError error
 }
@@ -42,6 +44,8 @@
 	return len(s.calls)
 }
 
+func (s *scriptedStore) Era() uint64 { return s.era }
+
 func popError(list *[]error) (err error, more bool) {
 	if len(*list) == 0 {
 		return nil, false
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -134,6 +134,7 @@
 	gauges := []gauge{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
+		{"store_era", float64(p.cells.StoreEra.Load())},
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
--- a/internal/sheet/node.go
+++ b/internal/sheet/node.go
@@ -20,6 +20,7 @@
 	PlatformRTT string         `json:"trip,omitempty"`
 	LinkRate    int64          `json:"linkBytesPerSecond,omitempty"`
 	Leaving     bool           `json:"leaving,omitempty"`
+	StoreEra    uint64         `json:"storeEra,omitempty"`
 	Upstream    *upstreamJSON  `json:"upstream,omitempty"`
 }
 
@@ -39,6 +40,7 @@
 func EncodeNode(n fleet.Node) (data []byte, err error) {
 	body := nodeJSON{
 		Host: n.Host, Region: n.Place.Region, Zone: n.Place.Zone, Address: n.Address, LinkRate: n.LinkRate, Leaving: n.Leaving,
+		StoreEra: n.StoreEra,
 	}
 	if n.PlatformRTT > 0 {
 		body.PlatformRTT = n.PlatformRTT.Round(fleet.MinPlatformRTT).String()
@@ -74,6 +76,7 @@
 	}
 	n = fleet.Node{
 		Host: body.Host, Place: mesh.Place{Region: body.Region, Zone: body.Zone}, Address: body.Address, LinkRate: body.LinkRate, Leaving: body.Leaving,
+		StoreEra: body.StoreEra,
 	}
 	if body.PlatformRTT != "" {
 		if n.PlatformRTT, err = time.ParseDuration(body.PlatformRTT); err != nil {
--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -26,8 +26,11 @@
 	for {
 		var page Page
 		op := operation{Request: c.options.Codec.List(prefix, after)}
-		err = c.do(ctx, op, func(data []byte) (err error) {
+		err = c.do(ctx, op, func(data []byte, era uint64) (err error) {
 			page, err = c.options.Codec.DecodePage(prefix, data)
+			for i := range page.Objects {
+				page.Objects[i].Era = era
+			}
 			return err
 		})
 		if err != nil {
@@ -67,7 +70,8 @@
 }
 
 // Update replaces the object's value. It fails with ErrConflict unless the
-// object has the given version.
+// object has the given version. See WithEra for a version that was read before the store
+// may have been restored.
 func (c *Client) Update(ctx context.Context, key string, value []byte, version uint64) (updated Object, err error) {
 	defer annotate(&err, "update", key)
 	if err = validateWrite(key, value); err != nil {
@@ -89,7 +93,7 @@
 	}
 	op := operation{Request: c.options.Codec.Delete(key, version), key: key}
 	// The response contains at most the deleted object, so it is not decoded.
-	return c.do(ctx, op, func([]byte) error { return nil })
+	return c.do(ctx, op, func([]byte, uint64) error { return nil })
 }
 
 // Watch waits for writes after the revision from to objects whose key starts
@@ -103,8 +107,11 @@
 		Request: c.options.Codec.Watch(prefix, from, c.options.WatchWait),
 		timeout: c.options.WatchWait + c.options.WatchGrace,
 	}
-	err = c.do(ctx, op, func(data []byte) (err error) {
+	err = c.do(ctx, op, func(data []byte, era uint64) (err error) {
 		events, next, err = c.options.Codec.DecodeEvents(prefix, data)
+		for i := range events {
+			events[i].Era = era
+		}
 		return err
 	})
 	if err != nil {
@@ -115,8 +122,9 @@
 
 // doObject sends a request that returns one object.
 func (c *Client) doObject(ctx context.Context, key string, req Request) (found Object, err error) {
-	err = c.do(ctx, operation{Request: req, key: key}, func(data []byte) (err error) {
+	err = c.do(ctx, operation{Request: req, key: key}, func(data []byte, era uint64) (err error) {
 		found, err = c.options.Codec.DecodeObject(key, data)
+		found.Era = era
 		return err
 	})
 	return found, err
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"net/http"
 	"net/url"
 	"time"
 )
@@ -53,6 +54,9 @@
 	DecodeObject(key string, data []byte) (Object, error)
 	DecodePage(prefix string, data []byte) (Page, error)
 	DecodeEvents(prefix string, data []byte) (events []Event, next uint64, err error)
+	// DecodeEra returns the era of the store from the header of a response; zero if it
+	// has none.
+	DecodeEra(header http.Header) (era uint64)
 	// DecodeErrorDetails returns the zero ErrorDetails when the body cannot be
 	// decoded.
 	DecodeErrorDetails(key string, data []byte) ErrorDetails
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -19,6 +19,10 @@
 	// requested revision. The caller must list again and watch from the
 	// revision of the list. The error is a *GoneError.
 	ErrGone = merry.Sentinel("revision no longer in history")
+	// ErrNewEra means that the store was restored from a copy after the data was read on
+	// which the call rests. The call had no effect, unless the error is an
+	// ErrOutcomeUnknown too. The caller must read again.
+	ErrNewEra = merry.Sentinel("store was restored")
 	// ErrUnavailable means that the call failed and certainly had no effect.
 	ErrUnavailable = merry.Sentinel("object API unavailable")
 	// ErrOutcomeUnknown means that a write was sent but its outcome was not
--- a/internal/store/keyvalue.go
+++ b/internal/store/keyvalue.go
@@ -18,6 +18,9 @@
 
 const objectsPath = "/v1/objects"
 
+// eraHeader is the header with the era of the store.
+const eraHeader = "Object-Era"
+
 // KeyValueCodec implements the object API in docs/PLATFORM.md, in which an
 // object is a key with a value of arbitrary bytes.
 type KeyValueCodec struct{}
@@ -156,6 +159,13 @@
 	return value
 }
 
+// DecodeEra implements Codec.
+func (KeyValueCodec) DecodeEra(header http.Header) (era uint64) {
+	// A header that is no number counts as missing.
+	era, _ = strconv.ParseUint(header.Get(eraHeader), 10, 64)
+	return era
+}
+
 // DecodeErrorDetails implements Codec.
 func (KeyValueCodec) DecodeErrorDetails(_ string, data []byte) (details ErrorDetails) {
 	var body struct {
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -14,7 +14,7 @@
 )
 
 // do waits for the rate limiter, sends the request and decodes the response.
-func (c *Client) do(ctx context.Context, op operation, decode func(data []byte) error) (err error) {
+func (c *Client) do(ctx context.Context, op operation, decode func(data []byte, era uint64) error) (err error) {
 	timeout := op.timeout
 	if timeout == 0 {
 		timeout = c.options.Timeout
@@ -22,6 +22,9 @@
 	if err = c.waitRateLimit(ctx, timeout); err != nil {
 		return err
 	}
+	if err = c.checkUnsent(ctx); err != nil {
+		return err
+	}
 	c.calls.Add(1)
 	progress := newProgressTimer(ctx, timeout)
 	defer progress.stop()
@@ -37,10 +40,15 @@
 		return c.truncatedError(op, response.StatusCode, err)
 	case len(data) > maxResponseSize:
 		return fmt.Errorf("%w: response exceeds %d bytes", op.lostResponseError(), maxResponseSize)
+	}
+	era, err := c.noteEra(ctx, op, response)
+	switch {
+	case err != nil && tellsState(response.StatusCode):
+		return err
 	case !succeeded(response.StatusCode):
-		return c.statusError(op, response.StatusCode, data)
+		return c.statusError(op, response.StatusCode, data, era)
 	}
-	if err = decode(data); err != nil {
+	if err = decode(data, era); err != nil {
 		return fmt.Errorf("%w: decode response: %w", op.lostResponseError(), err)
 	}
 	return nil
@@ -50,6 +58,12 @@
 	return status == http.StatusOK || status == http.StatusCreated || status == http.StatusNoContent
 }
 
+// tellsState reports whether a response with the status depends on the stored objects, so
+// that it is useless if it is of an era that has ended.
+func tellsState(status int) bool {
+	return succeeded(status) || status == http.StatusNotFound || status == http.StatusConflict || status == http.StatusGone
+}
+
 // waitRateLimit waits for the rate limiter, at most for the call's timeout.
 func (c *Client) waitRateLimit(ctx context.Context, timeout time.Duration) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -92,7 +106,7 @@
 	if succeeded(status) {
 		return fmt.Errorf("%w: %w", op.lostResponseError(), cause)
 	}
-	return c.statusError(op, status, nil)
+	return c.statusError(op, status, nil, 0)
 }
 
 // closeIdleOnTimeout closes idle connections when the cause is a timeout,
@@ -104,7 +118,7 @@
 }
 
 // statusError maps an error status to an error of this package.
-func (c *Client) statusError(op operation, status int, data []byte) (err error) {
+func (c *Client) statusError(op operation, status int, data []byte, era uint64) (err error) {
 	details := c.options.Codec.DecodeErrorDetails(op.key, data)
 	switch status {
 	case http.StatusNotFound:
@@ -113,6 +127,7 @@
 		conflict := &ConflictError{HasCurrent: details.Current != nil}
 		if details.Current != nil {
 			conflict.Current = *details.Current
+			conflict.Current.Era = era
 		}
 		return conflict
 	case http.StatusGone:
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,6 +46,9 @@
 	// Version is the store-wide revision of the last write to the object. If that can't
 	// be decoded, it is the revision of the response.
 	Version uint64
+	// Era is the era of the store in which the object was read or written. Versions of
+	// different eras can't be compared.
+	Era uint64
 	// Malformed is why a part of the object could not be decoded; nil if it was. Value
 	// is then empty. If even the name is unknown, Key is the prefix of the list or watch.
 	Malformed error
@@ -96,6 +99,8 @@
 	options   Options
 	transport *http.Transport
 	calls     atomic.Uint64
+	// era is the highest era that a response had.
+	era atomic.Uint64
 }
 
 // New returns a client without opening a connection.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -40,14 +40,14 @@
 	case ctlmsg.RelayInvite:
 		return &Control{Body: &Control_Invite{Invite: &Invite{Slot: uint32(m.Slot)}}}
 	case ctlmsg.Subscribe:
-		return &Control{Body: &Control_Want{Want: &Want{Version: uint64(m.Version)}}}
+		return &Control{Body: &Control_Want{Want: &Want{Version: uint64(m.Version), DocumentOnly: m.DocumentOnly}}}
 	case ctlmsg.ReaderHeartbeat:
 		return &Control{Body: &Control_Pulse{Pulse: encodeReaderHeartbeat(m)}}
 	case ctlmsg.Probe:
 		return &Control{Body: &Control_Probe{Probe: &Probe{SentMicros: m.SentAt.Microseconds(), Nodes: uint32(m.Nodes)}}}
 	case ctlmsg.Document:
 		return &Control{Body: &Control_Document{Document: &Document{
-			Version: uint64(m.Version), Base: uint64(m.Base), Packed: m.Compressed,
+			Version: uint64(m.Version), Base: uint64(m.Base), Packed: m.Compressed, Era: m.Era,
 		}}}
 	case ctlmsg.Roster:
 		return &Control{Body: &Control_Roster{Roster: encodeRoster(m)}}
@@ -87,7 +87,7 @@
 		}
 		return ctlmsg.RelayInvite{Slot: int(b.Invite.GetSlot())}, nil
 	case *Control_Want:
-		return ctlmsg.Subscribe{Version: mesh.Version(b.Want.GetVersion())}, nil
+		return ctlmsg.Subscribe{Version: mesh.Version(b.Want.GetVersion()), DocumentOnly: b.Want.GetDocumentOnly()}, nil
 	case *Control_Pulse:
 		return decodeReaderHeartbeat(b.Pulse), nil
 	case *Control_Probe:
@@ -97,7 +97,7 @@
 		return ctlmsg.Probe{SentAt: time.Duration(b.Probe.GetSentMicros()) * time.Microsecond, Nodes: int(b.Probe.GetNodes())}, nil
 	case *Control_Document:
 		return ctlmsg.Document{
-			Version: mesh.Version(b.Document.GetVersion()), Base: mesh.Version(b.Document.GetBase()), Compressed: b.Document.GetPacked(),
+			Version: mesh.Version(b.Document.GetVersion()), Base: mesh.Version(b.Document.GetBase()), Compressed: b.Document.GetPacked(), Era: b.Document.GetEra(),
 		}, nil
 	case *Control_Roster:
 		return decodeRoster(b.Roster)
@@ -109,6 +109,7 @@
 func encodeReaderHeartbeat(m ctlmsg.ReaderHeartbeat) *Pulse {
 	pulse := &Pulse{
 		Version: uint64(m.Version), Reached: m.Current, AgeMicros: m.Age.Microseconds(), Revision: m.Revision, ProbeMicros: m.ProbeSentAt.Microseconds(),
+		Era: m.Era, VersionEra: m.VersionEra,
 	}
 	if m.Verified {
 		pulse.VerifiedAgeMicros = m.VerifiedAge.Microseconds() + 1
@@ -119,7 +120,7 @@
 func decodeReaderHeartbeat(p *Pulse) ctlmsg.ReaderHeartbeat {
 	return ctlmsg.ReaderHeartbeat{
 		Version: mesh.Version(p.GetVersion()), Current: p.GetReached(),
-		Age: time.Duration(max(0, p.GetAgeMicros())) * time.Microsecond, Revision: p.GetRevision(),
+		Age: time.Duration(max(0, p.GetAgeMicros())) * time.Microsecond, Revision: p.GetRevision(), Era: p.GetEra(), VersionEra: p.GetVersionEra(),
 		Verified: p.GetVerifiedAgeMicros() > 0, VerifiedAge: time.Duration(max(0, p.GetVerifiedAgeMicros())) * time.Microsecond,
 		ProbeSentAt: time.Duration(max(0, p.GetProbeMicros())) * time.Microsecond,
 	}
--- a/internal/wire/roster.go
+++ b/internal/wire/roster.go
@@ -8,20 +8,32 @@
 )
 
 func encodeRoster(m ctlmsg.Roster) *Roster {
-	roster := &Roster{Revision: m.Revision, Whole: m.Complete, Entries: make([]*RosterEntry, len(m.Entries))}
+	roster := &Roster{Revision: m.Revision, Era: m.Era, Whole: m.Complete, Entries: make([]*RosterEntry, len(m.Entries))}
 	for i, e := range m.Entries {
-		roster.Entries[i] = &RosterEntry{Host: string(e.Host), Version: e.Version, Record: e.Record}
+		entry := &RosterEntry{Host: string(e.Host), Version: e.Version, Era: e.Era, Retired: e.Retired, Record: e.Record}
+		if e.Written != (mesh.StoreTime{Era: e.Era, Revision: e.Version}) {
+			entry.WrittenEra, entry.WrittenRevision = e.Written.Era, e.Written.Revision
+		}
+		roster.Entries[i] = entry
 	}
 	return roster
 }
 
 func decodeRoster(r *Roster) (message ctlmsg.Message, err error) {
-	m := ctlmsg.Roster{Revision: r.GetRevision(), Complete: r.GetWhole(), Entries: make([]ctlmsg.RosterEntry, len(r.GetEntries()))}
+	m := ctlmsg.Roster{Revision: r.GetRevision(), Era: r.GetEra(), Complete: r.GetWhole(), Entries: make([]ctlmsg.RosterEntry, len(r.GetEntries()))}
 	for i, e := range r.GetEntries() {
 		if err = mesh.CheckName(e.GetHost()); err != nil {
 			return nil, fmt.Errorf("roster: %w", err)
 		}
-		m.Entries[i] = ctlmsg.RosterEntry{Host: mesh.HostID(e.GetHost()), Version: e.GetVersion(), Record: e.GetRecord()}
+		if e.GetEra() > r.GetEra() || e.GetWrittenEra() > e.GetEra() {
+			return nil, fmt.Errorf("roster of era %d: record of %s of era %d, written in era %d", r.GetEra(), e.GetHost(), e.GetEra(), e.GetWrittenEra())
+		}
+		entry := ctlmsg.RosterEntry{Host: mesh.HostID(e.GetHost()), Version: e.GetVersion(), Era: e.GetEra(), Retired: e.GetRetired(), Record: e.GetRecord()}
+		entry.Written = mesh.StoreTime{Era: e.GetWrittenEra(), Revision: e.GetWrittenRevision()}
+		if entry.Written == (mesh.StoreTime{}) {
+			entry.Written = mesh.StoreTime{Era: e.GetEra(), Revision: e.GetVersion()}
+		}
+		m.Entries[i] = entry
 	}
 	return m, nil
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -44,6 +44,10 @@
 	LinkRate int64
 	// Leaving is true while the node shuts down.
 	Leaving bool
+	// StoreEra is the era of the store in which the node wrote the record; zero if the
+	// platform counts none. A record of an earlier era is that of the copy from which the
+	// store was restored.
+	StoreEra uint64
 	// Upstream has an empty Instance while there is no upstream.
 	Upstream Upstream
 }
