--- a/internal/cells/roster.go
+++ b/internal/cells/roster.go
@@ -38,8 +38,10 @@
 	// Revision is the platform revision up to which the roster is complete.
 	Revision uint64
 	// Era is the era of the store to which Revision belongs.
-	Era     uint64
-	entries  map[mesh.HostID]RosterEntry
+	Era uint64
+	// newestVersion is the highest version in the records written in the era.
+	newestVersion mesh.Version
+	entries       map[mesh.HostID]RosterEntry
 	// addressOwners contains the host with the latest record of each address.
 	addressOwners map[netip.AddrPort]mesh.HostID
 	// removedAt contains the times at which records were removed.
@@ -63,7 +65,7 @@
 // count as changed.
 func (r *Roster) BeginEra(era uint64) {
 	r.Era, r.Revision = era, 0
-	r.unreadableVersions = nil
+	r.unreadableVersions, r.newestVersion = nil, 0
 	r.trimmed += len(r.changes) + 1
 	r.changes = nil
 }
@@ -94,6 +96,9 @@
 		r.entries = make(map[mesh.HostID]RosterEntry)
 	}
 	r.entries[host] = entry
+	if entry.Written.Era == r.Era {
+		r.newestVersion = max(r.newestVersion, entry.Node.Version)
+	}
 	delete(r.unreadableVersions, host)
 	r.claimAddress(entry)
 	if known && old.Node.Address != entry.Node.Address {
@@ -179,6 +184,23 @@
 	return true
 }
 
+// NewestVersion returns the highest version that nodes had in force when they wrote their
+// records in the roster's era; zero if it is not known.
+func (r *Roster) NewestVersion() mesh.Version {
+	return r.newestVersion
+}
+
+// HasOutdated reports whether the record of a node other than the host, which is not
+// leaving, was written before the store was restored.
+func (r *Roster) HasOutdated(host mesh.HostID) bool {
+	for h, e := range r.entries {
+		if h != host && e.Written.Era < r.Era && !e.Node.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // UnreadableVersion returns the version of the host's object if it exists but contains
 // no record, otherwise zero.
 func (r *Roster) UnreadableVersion(host mesh.HostID) uint64 {
--- a/internal/ctrl/proxy_test.go
+++ b/internal/ctrl/proxy_test.go
@@ -120,6 +120,7 @@
 	// hosts that are not listed, the instance that sends the reports answers.
 	healthInstances map[mesh.HostID]string
 	simRevocation
+	simEra
 }
 
 func newSim(t *testing.T, hosts int) *sim {
@@ -181,7 +182,7 @@
 	}
 	p.cells.LogEvents.Handle = func(cells.LogEvent) {}
 	p.cells.MetricsTicks.Handle = func(time.Time) {}
-	AddProxy(&p.board, p.cells, s.codec(), &p.simClock, rand.NewPCG(1, uint64(len(host))))
+	AddProxy(&p.board, p.cells, s.codec(), &p.simClock, rand.NewPCG(1, uint64(addressOf(host).Addr().As4()[2])<<8|uint64(addressOf(host).Addr().As4()[3])))
 	s.proxies = append(s.proxies, p)
 	return p
 }
@@ -257,7 +258,7 @@
 		if _, watches := p.watched[kind]; watches && !s.platformUnreachable(p) {
 			p.cells.ObjectEvents.Post(cells.ObjectEvent{
 				Action: cells.WatchObjects, Kind: kind, Revision: s.revision, RTT: nearRTT,
-				Objects: []cells.Object{{Name: name, Version: s.revision, Deleted: true}},
+				Objects: []cells.Object{{Name: name, Version: s.revision, Era: s.era, Deleted: true}}, Era: s.era,
 			})
 		}
 	}
@@ -268,31 +269,35 @@
 }
 
 func (s *sim) handleObjectCommand(p *simProxy, c cells.ObjectCommand, rtt time.Duration) {
-	event := cells.ObjectEvent{Action: c.Action, Kind: c.Kind, Command: c, RTT: rtt}
+	event := cells.ObjectEvent{Action: c.Action, Kind: c.Kind, Command: c, RTT: rtt, Era: s.era}
 	switch {
 	case c.Action == cells.UnwatchObjects:
 		delete(p.watched, c.Kind)
 		p.watch = nil
 		return
 	case c.Action == cells.WatchObjects:
-		p.watched[c.Kind] = c.Revision
+		p.watched[c.Kind] = s.watchFrom(c)
 		p.watch = nil
 		return
 	case s.platformUnreachable(p):
-		event.Result, event.Err = cells.StoreFailed, errors.New("unreachable")
+		event.Result, event.Err, event.Era = cells.StoreFailed, errors.New("unreachable"), 0
+	case c.Era != s.era:
+		event.Result, event.Err = cells.StoreFailed, errors.New("not sent")
 	default:
-		stored := s.objects[c.Kind][string(c.Host)]
+		s.countWrite()
+		stored := s.stored(c.Kind, string(c.Host))
 		switch {
 		case stored.Version != c.Version:
 			event.Result, event.Current = cells.StoreConflict, stored
 			if stored.Version == 0 {
-				event.Current = cells.Object{Name: string(c.Host), Version: c.Version, Deleted: true}
+				event.Current = cells.Object{Name: string(c.Host), Version: c.Version, Era: s.era, Deleted: true}
 			}
 		case c.Action == cells.DeleteRecord:
 			s.remove(c.Kind, string(c.Host))
-			event.Current = cells.Object{Name: string(c.Host), Version: s.revision, Deleted: true}
+			event.Current = cells.Object{Name: string(c.Host), Version: s.revision, Era: s.era, Deleted: true}
 		default:
-			event.Current = s.write(c.Kind, string(c.Host), encodeNode(c.Node))
+			s.write(c.Kind, string(c.Host), encodeNode(c.Node))
+			event.Current = s.stored(c.Kind, string(c.Host))
 		}
 	}
 	p.cells.ObjectEvents.Post(event)
@@ -305,10 +310,10 @@
 			if s.platformUnreachable(p) || revision == s.revision || s.simulatesCalls(kind) {
 				continue
 			}
-			event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: revision == 0, Revision: s.revision, RTT: nearRTT}
+			event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: kind, Complete: revision == 0, Revision: s.revision, Era: s.era, RTT: nearRTT}
 			for _, o := range s.objects[kind] {
 				if o.Version > revision {
-					event.Objects = append(event.Objects, o)
+					event.Objects = append(event.Objects, s.stored(kind, o.Name))
 				}
 			}
 			slices.SortFunc(event.Objects, func(a, b cells.Object) int { return cmp.Compare(a.Version, b.Version) })
--- a/internal/ctrl/recordwriter.go
+++ b/internal/ctrl/recordwriter.go
@@ -7,6 +7,7 @@
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/pkg/board"
 	"arbutusstep.example/arbutusstep/pkg/fleet"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/relay"
 )
 
@@ -51,7 +52,7 @@
 	return board.Controller{
 		Name:   "recordWriter",
 		Reads:  []board.Ref{&proxy.ObjectEvents, &proxy.Roster, &proxy.LocalUpstream, &proxy.Phase, &proxy.PlatformStatus, &w.alarm},
-		Uses:   []board.Ref{&proxy.Self},
+		Uses:   []board.Ref{&proxy.Self, &proxy.ActiveVersion},
 		Writes: []board.Ref{&proxy.StoredRecord, &proxy.ObjectCommands, &w.alarm},
 		Step:   w.step,
 	}
@@ -134,9 +135,13 @@
 
 // desiredRecord returns the record that should be stored.
 func (w *recordWriter) desiredRecord() fleet.Node {
-	self := w.Self.Get()
+	self, version := w.Self.Get(), mesh.Version(0)
+	if w.Roster.Read().Era > 0 {
+		version = w.ActiveVersion.Get().Plan.Version()
+	}
 	return fleet.Node{
-		Host: self.Host, Place: self.Place, Address: self.Address, PlatformRTT: w.PlatformStatus.Get().RTT, LinkRate: self.LinkRate, StoreEra: w.Roster.Read().Era,
+		Version: version,
+		Host:    self.Host, Place: self.Place, Address: self.Address, PlatformRTT: w.PlatformStatus.Get().RTT, LinkRate: self.LinkRate, StoreEra: w.Roster.Read().Era,
 		Leaving: w.Phase.Get() == cells.Withdrawn || w.Phase.Get() == cells.Stopped, Upstream: w.LocalUpstream.Get().Upstream,
 	}
 }
@@ -147,6 +152,7 @@
 	if a.PlatformRTT > 0 {
 		b.PlatformRTT = a.PlatformRTT
 	}
+	b.Version = a.Version
 	b.Upstream.Sequence, b.Upstream.ColdRemaining = a.Upstream.Sequence, a.Upstream.ColdRemaining
 	if a.Upstream.StartedAt.Equal(b.Upstream.StartedAt) {
 		b.Upstream.StartedAt = a.Upstream.StartedAt
--- a/internal/ctrl/revocationsim_test.go
+++ b/internal/ctrl/revocationsim_test.go
@@ -171,7 +171,7 @@
 		s.calls, w.counted = s.calls+1, true
 	}
 	end := w.arrivesAt.Add(verify.WatchWait(s.revocation, time.Hour))
-	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: cells.VersionObjects, Complete: revision == 0, Revision: s.revision, RTT: nearRTT, CalledAt: w.calledAt}
+	event := cells.ObjectEvent{Action: cells.WatchObjects, Kind: cells.VersionObjects, Complete: revision == 0, Revision: s.revision, Era: s.era, RTT: nearRTT, CalledAt: w.calledAt}
 	switch {
 	case s.platformUnreachable(p) || s.silentWatches:
 		if s.now.Before(end.Add(watchGrace)) {
@@ -183,7 +183,7 @@
 	}
 	for _, o := range s.objects[cells.VersionObjects] {
 		if event.Result == cells.StoreDone && o.Version > revision {
-			event.Objects = append(event.Objects, o)
+			event.Objects = append(event.Objects, s.stored(cells.VersionObjects, o.Name))
 		}
 	}
 	slices.SortFunc(event.Objects, func(a, b cells.Object) int { return cmp.Compare(a.Version, b.Version) })
--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -298,7 +298,7 @@
 func (s *sourceSelector) updateFreshness() {
 	next := s.Freshness.Get()
 	next.Direct, next.ConfirmedAt, next.Revision = s.watchesVersions && s.answered, latest(next.ConfirmedAt, s.lastConfirmed()), s.revision
-	next.Behind = s.ActiveVersion.Get().Plan != nil && s.ActiveVersion.Get().Era < s.era
+	next.Behind = isBehind(s.Proxy)
 	if next != s.Freshness.Get() {
 		s.Freshness.Set(next)
 	}
--- a/internal/ctrl/storeera.go
+++ b/internal/ctrl/storeera.go
@@ -15,6 +15,14 @@
 	*cells.Proxy
 }
 
+// isBehind reports whether the store, which was restored from a copy, is not known to have
+// the version in force or a later one, or lacks a version that another proxy has in force.
+// What it says does not confirm then that the version in force is the newest.
+func isBehind(proxy *cells.Proxy) bool {
+	active, era := proxy.ActiveVersion.Get(), proxy.StoreEra.Get()
+	return era > 0 && active.Plan != nil && (active.Era < era || active.Plan.Version() < proxy.Roster.Read().NewestVersion())
+}
+
 func newStoreEra(proxy *cells.Proxy) board.Controller {
 	s := &storeEra{Proxy: proxy}
 	return board.Controller{
--- a/internal/ctrl/verifier.go
+++ b/internal/ctrl/verifier.go
@@ -9,6 +9,11 @@
 	"arbutusstep.example/arbutusstep/pkg/verify"
 )
 
+// restoredGrace is how long after its start a proxy waits for the records that others write
+// again after the store was restored. They are back within two seconds; those of dead
+// proxies never are.
+const restoredGrace = 4 * time.Second
+
 // verifier determines VerifiedAt from the responses to this proxy's own watches of versions
 // and from the heartbeats of its parents. It must be added after versionApplier and
 // proxySnapshotBuilder: traffic threads that read VerifiedAt, and then the snapshot, see
@@ -18,6 +23,8 @@
 	clock   SuspensionClock
 	alarm   board.Alarm
 	tracker verify.Tracker
+	// loadedAt is when the roster was first complete.
+	loadedAt time.Time
 	// refusing is true while requests with keys are refused.
 	refusing bool
 }
@@ -27,7 +34,7 @@
 	return board.Controller{
 		Name:   "verifier",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ObjectEvents, &proxy.ActiveVersion, &v.alarm},
-		Uses:   []board.Ref{&proxy.Self, &proxy.Snapshot, &proxy.StoreEra},
+		Uses:   []board.Ref{&proxy.Self, &proxy.Snapshot, &proxy.StoreEra, &proxy.Roster},
 		Writes: []board.Ref{&proxy.Freshness, &proxy.LogEvents, &v.alarm},
 		Step:   v.step,
 	}
@@ -39,13 +46,24 @@
 	}
 	moment := verify.Moment{Time: now, Suspended: v.clock.Suspended()}
 	v.tracker.Started = probeOrigin(v.Proxy)
-	if v.ActiveVersion.Get().Era >= v.StoreEra.Get() {
+	if !isBehind(v.Proxy) && !v.mayBeBehind(now) {
 		v.addConfirmations(moment)
 	}
 	v.publish()
 	v.logRefusals(moment)
 }
 
+// mayBeBehind reports whether this process started so soon after the store was restored
+// that the other proxies have not written their records, and with them their versions,
+// again.
+func (v *verifier) mayBeBehind(now time.Time) bool {
+	roster := v.Roster.Read()
+	if v.loadedAt.IsZero() && roster.Loaded {
+		v.loadedAt = now
+	}
+	return roster.Era > 0 && now.Sub(v.loadedAt) < restoredGrace && roster.HasOutdated(v.Self.Get().Host)
+}
+
 // addConfirmations adds the confirmations that arrived. It must not be called while the
 // store, which was restored from a copy, is not known to have the version in force: the
 // store would confirm that nothing is newer than a version from which keys were revoked.
--- a/internal/sheet/node.go
+++ b/internal/sheet/node.go
@@ -21,6 +21,7 @@
 	LinkRate    int64          `json:"linkBytesPerSecond,omitempty"`
 	Leaving     bool           `json:"leaving,omitempty"`
 	StoreEra    uint64         `json:"storeEra,omitempty"`
+	Version     mesh.Version   `json:"version,omitempty"`
 	Upstream    *upstreamJSON  `json:"upstream,omitempty"`
 }
 
@@ -40,7 +41,7 @@
 func EncodeNode(n fleet.Node) (data []byte, err error) {
 	body := nodeJSON{
 		Host: n.Host, Region: n.Place.Region, Zone: n.Place.Zone, Address: n.Address, LinkRate: n.LinkRate, Leaving: n.Leaving,
-		StoreEra: n.StoreEra,
+		StoreEra: n.StoreEra, Version: n.Version,
 	}
 	if n.PlatformRTT > 0 {
 		body.PlatformRTT = n.PlatformRTT.Round(fleet.MinPlatformRTT).String()
@@ -76,7 +77,7 @@
 	}
 	n = fleet.Node{
 		Host: body.Host, Place: mesh.Place{Region: body.Region, Zone: body.Zone}, Address: body.Address, LinkRate: body.LinkRate, Leaving: body.Leaving,
-		StoreEra: body.StoreEra,
+		StoreEra: body.StoreEra, Version: body.Version,
 	}
 	if body.PlatformRTT != "" {
 		if n.PlatformRTT, err = time.ParseDuration(body.PlatformRTT); err != nil {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -48,6 +48,10 @@
 	// platform counts none. A record of an earlier era is that of the copy from which the
 	// store was restored.
 	StoreEra uint64
+	// Version is the version that the node had in force when it wrote the record; zero if
+	// the platform counts no eras. A restored store may lack it, and nodes that start then
+	// have no other way to know of it.
+	Version mesh.Version
 	// Upstream has an empty Instance while there is no upstream.
 	Upstream Upstream
 }
