--- a/internal/ctrl/storeera_test.go
+++ b/internal/ctrl/storeera_test.go
@@ -158,6 +158,14 @@
 			name: "a proxy starts", proxies: 8, used: "n08",
 			change: func(s *sim, _ *simProxy) { s.reported[s.start("n08", false).host] = member.Ready },
 		},
+		{
+			name: "a proxy starts and is killed", proxies: 8, used: "n02",
+			change: func(s *sim, _ *simProxy) {
+				p := s.start("n08", false)
+				s.advanceReporting(2 * time.Second)
+				s.kill(p)
+			},
+		},
 		{
 			name: "a proxy that reads from the store is killed and starts again", proxies: 8, used: "n02", unused: "n03",
 			change: func(s *sim, p *simProxy) {
@@ -191,6 +199,9 @@
 			s.advanceAndCheck(deadAfter+dialAfter, tt.used, tt.unused)
 			assert.Assert(t, len(s.writesAt)-writes <= 2, "%d more writes", len(s.writesAt)-writes)
 			assert.Equal(t, len(s.objects[cells.RecordObjects]), len(s.proxies))
+			for _, p := range s.proxies {
+				assert.Equal(t, p.cells.Roster.Read().Len(), len(s.proxies), "%s", p.host)
+			}
 			s.checkBehind(true)
 			s.write(cells.VersionObjects, "main", []byte("2"))
 			s.advance(time.Second)
@@ -208,6 +219,26 @@
 	}
 }
 
+// TestLostStateIsNotAcknowledgedAsRecorded guards against an acknowledgement which says that
+// the platform has a state that it lost when it was restored.
+func TestLostStateIsNotAcknowledgedAsRecorded(t *testing.T) {
+	s := newSim(t, 4)
+	p := s.proxies[3]
+	s.report(p, 1, member.Ready, 1)
+	s.advance(2 * time.Second)
+	copied := s.copyStore()
+	s.report(p, 2, member.Draining, 2)
+	s.advance(time.Second)
+	assert.Equal(t, p.acks[1], cells.ReportAck{ID: 2, Result: fleet.Changed, Recorded: true})
+	p.isolated = true
+	s.restoreStore(copied)
+	s.advance(time.Second)
+	assert.Equal(t, p.cells.Roster.Read().Era, uint64(1))
+	s.report(p, 3, member.Draining, 3)
+	s.advance(time.Second)
+	assert.Equal(t, p.acks[2], cells.ReportAck{ID: 3, Result: fleet.Renewed})
+}
+
 // TestRecordsAreWrittenAgainSpreadOverTime guards the store's rate limit against all proxies
 // that write at once.
 func TestRecordsAreWrittenAgainSpreadOverTime(t *testing.T) {
@@ -263,8 +294,11 @@
 		name string
 		// before happens before the store is restored.
 		before func(s *sim)
+		// missing is true if a root does not get the version that the copy lacks.
+		missing bool
 	}{
 		{name: "all proxies run", before: func(*sim) {}},
+		{name: "a proxy that reads from the store misses the version", before: func(s *sim) {}, missing: true},
 		{name: "a proxy that reads from the store starts again", before: func(s *sim) {
 			root := s.directReaders()[0]
 			s.kill(root)
@@ -276,9 +310,11 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newRevocationSim(t, 8)
-			copied := s.copyStore()
+			copied, root := s.copyStore(), s.directReaders()[0]
+			root.isolated = tt.missing
 			s.acceptVersion()
 			s.advance(2 * time.Second)
+			root.isolated = false
 			tt.before(s)
 			s.restoreStore(copied)
 			s.advance(2 * testRevocation)
--- a/internal/ctrl/sweeper.go
+++ b/internal/ctrl/sweeper.go
@@ -101,10 +101,6 @@
 		return
 	}
 	entry, _ := s.Roster.Read().Get(host)
-	if entry.Era < s.Roster.Read().Era {
-		// The restored store has no such object, and rosterUpdater removes the record.
-		return
-	}
 	switch unlinked := now.Sub(lastLinked); {
 	case unlinked >= deadAfter:
 		delete(s.lastLinked, host)
