Restore the stand-in of the store from a copy

POST /v1/restore takes a copy, goes on, drops all calls for a moment, and comes back with the copy, the next era and revisions that are given out again.

--- a/internal/depot/driver_test.go
+++ b/internal/depot/driver_test.go
@@ -44,7 +44,11 @@
 	return len(s.calls)
 }
 
-func (s *scriptedStore) Era() uint64 { return s.era }
+func (s *scriptedStore) Era() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
 
 func popError(list *[]error) (err error, more bool) {
 	if len(*list) == 0 {
@@ -137,6 +141,11 @@
 			calls:   []string{"list config/", "watch config/ from 7", "list config/", "watch config/ from 7"},
 			results: []cells.StoreResult{cells.StoreDone, cells.StoreDone},
 		},
+		{
+			name: "store was restored", script: &scriptedStore{watchErrors: []error{store.ErrNewEra}},
+			calls:   []string{"list config/", "watch config/ from 7", "list config/", "watch config/ from 7"},
+			results: []cells.StoreResult{cells.StoreDone, cells.StoreDone},
+		},
 		{
 			name: "list fails", script: &scriptedStore{listErrors: []error{failed}},
 			calls:   []string{"list config/", "list config/", "watch config/ from 7"},
@@ -167,6 +176,38 @@
 	}
 }
 
+// eraStore is a store that is restored while a watch waits.
+type eraStore struct {
+	*scriptedStore
+}
+
+func (s *eraStore) Update(ctx context.Context, key string, value []byte, version uint64) (store.Object, error) {
+	s.mutex.Lock()
+	s.era++
+	s.mutex.Unlock()
+	return s.scriptedStore.Update(ctx, key, value, version)
+}
+
+// TestNewEraEndsWatches guards against a watch that waits for changes after a revision of a
+// store that was restored since, which other calls have noticed.
+func TestNewEraEndsWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, events := &eraStore{scriptedStore: &scriptedStore{}}, &postedEvents{}
+		driver := depot.New(s, events, depot.Kinds{Versions: "config", Records: "nodes"}, func() time.Duration { return 0 }, neverSuspended{})
+		driver.Handle(cells.ObjectCommand{Action: cells.WatchObjects, Kind: cells.VersionObjects})
+		time.Sleep(5 * time.Second)
+		driver.Handle(cells.ObjectCommand{Action: cells.PutRecord, Kind: cells.RecordObjects, Host: "h1", Version: 4})
+		time.Sleep(5 * time.Second)
+		driver.Close()
+		assert.DeepEqual(t, s.calls, []string{"list config/", "watch config/ from 7", "update nodes/h1 at 4", "list config/", "watch config/ from 7"})
+		eras := make([]uint64, 0, len(events.events))
+		for _, e := range events.events {
+			eras = append(eras, e.Era)
+		}
+		assert.DeepEqual(t, eras, []uint64{0, 1, 1})
+	})
+}
+
 // suspensionClock is the clock of a machine that was suspended for some time.
 type suspensionClock struct{ suspended time.Duration }
 
--- a/internal/objapi/faults.go
+++ b/internal/objapi/faults.go
@@ -74,6 +74,9 @@
 	// freezeCount is how often FreezeWatches was set. A watch that notices a
 	// new count since its start stays frozen.
 	freezeCount uint64
+	// restoring is true while the store drops all calls before it is restored from a
+	// copy.
+	restoring bool
 	// changed is closed at the next change of faults; nil when nobody waits.
 	changed chan struct{}
 	// writes and reads are the rate limiters. They are created by the first
@@ -97,6 +100,19 @@
 		s.reads = nil
 	}
 	s.current = faults
+	s.notify()
+}
+
+// setRestoring sets whether the store drops all calls because it is being restored.
+func (s *faultState) setRestoring(restoring bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.restoring = restoring
+	s.notify()
+}
+
+// notify wakes those who wait for a change of faults. The caller must hold the mutex.
+func (s *faultState) notify() {
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -111,7 +127,11 @@
 	if s.changed == nil {
 		s.changed = make(chan struct{})
 	}
-	return s.current, s.freezeCount, s.changed
+	faults = s.current
+	if s.restoring {
+		faults.Outage = OutageDrop
+	}
+	return faults, s.freezeCount, s.changed
 }
 
 // allow takes a token from the limiter of writes or reads and reports whether
--- a/internal/objapi/handlers.go
+++ b/internal/objapi/handlers.go
@@ -45,6 +45,7 @@
 	})
 	engine.GET("/v1/faults", s.getFaults)
 	engine.PUT("/v1/faults", s.putFaults)
+	engine.POST("/v1/restore", s.postRestore)
 	engine.POST("/v1/compact", func(_ context.Context, rc *app.RequestContext) {
 		s.Compact()
 		rc.SetStatusCode(consts.StatusNoContent)
@@ -61,10 +62,11 @@
 		detach := context.AfterFunc(stopping, cancel)
 		defer detach()
 		s.calls.add(k, time.Now())
+		setEra(rc, s.store.currentEra())
 		if !s.admit(ctx, k, rc) || rc.Response.StatusCode() != consts.StatusOK {
 			return
 		}
-		respond := h(ctx, rc)
+		respond := s.runInEra(ctx, rc, h)
 		if respond && k.isWrite() && rc.Response.StatusCode() == consts.StatusOK && s.faults.takeLostResponse() {
 			s.calls.increment(&s.calls.lostResponses)
 			respond = false
--- a/internal/objapi/memstore.go
+++ b/internal/objapi/memstore.go
@@ -71,6 +71,8 @@
 	keys []string
 	// revision is the version of the last write, zero before the first write.
 	revision uint64
+	// era is the number of times that the store was restored from a copy.
+	era uint64
 	// history contains the most recent events. Their versions are consecutive
 	// and end with revision.
 	history []historyEvent
--- a/internal/objapi/server.go
+++ b/internal/objapi/server.go
@@ -107,8 +107,9 @@
 // Faults returns the current faults. LoseResponses decreases with each lost
 // response.
 func (s *Server) Faults() Faults {
-	faults, _, _ := s.faults.get()
-	return faults
+	s.faults.mutex.Lock()
+	defer s.faults.mutex.Unlock()
+	return s.faults.current
 }
 
 // Compact discards the event history, so that every watch from an earlier
@@ -120,6 +121,7 @@
 // Stats returns the current statistics.
 func (s *Server) Stats() (stats Stats) {
 	stats = s.calls.snapshot(time.Now())
+	stats.Era = s.store.currentEra()
 	stats.Objects, stats.Revision, stats.WaitingWatches = s.store.count()
 	return stats
 }
--- a/internal/objapi/stats.go
+++ b/internal/objapi/stats.go
@@ -24,6 +24,8 @@
 type Stats struct {
 	Objects  int    `json:"objects"`
 	Revision uint64 `json:"revision"`
+	// Era is the number of times that the store was restored from a copy.
+	Era uint64 `json:"era,omitempty"`
 	// WaitingWatches is the number of watches now waiting for events.
 	WaitingWatches int       `json:"waitingWatches"`
 	Get            CallCount `json:"get"`
--- a/internal/wire/message_test.go
+++ b/internal/wire/message_test.go
@@ -45,6 +45,14 @@
 		ctlmsg.MembershipDigests{Services: []ctlmsg.ServiceDigest{{ID: sampleService, Digest: 77}}},
 		ctlmsg.RetryLater{After: 3 * time.Second},
 		ctlmsg.RelayInvite{Slot: 2},
+		ctlmsg.Subscribe{Version: 3, DocumentOnly: true},
+		ctlmsg.ReaderHeartbeat{Version: 3, Revision: 4, Era: 2, VersionEra: 1},
+		ctlmsg.Document{Version: 3, Compressed: []byte("x"), Era: 2},
+		ctlmsg.Roster{Revision: 9, Era: 2, Complete: true, Entries: []ctlmsg.RosterEntry{
+			{Host: "a", Version: 5, Era: 2, Written: mesh.StoreTime{Era: 2, Revision: 5}, Record: []byte("x")},
+			{Host: "b", Version: 5, Era: 2, Written: mesh.StoreTime{Revision: 7}, Retired: true, Record: []byte("x")},
+			{Host: "c", Version: 8, Era: 1, Written: mesh.StoreTime{Era: 1, Revision: 8}, Record: []byte("x")},
+		}},
 	}
 }
 
@@ -72,6 +80,8 @@
 		{name: "digest of the wrong length", control: &Control{Body: &Control_Config{Config: &Config{Root: []byte{1}}}}},
 		{name: "undecodable chunk", control: &Control{Body: &Control_Config{Config: &Config{Chunks: []*ChunkChange{{Content: []byte("x")}}}}}},
 		{name: "invalid scope path", control: &Control{Body: &Control_Held{Held: &Held{Scopes: []*ScopeHeld{{Scope: "a/b/c/d/e"}}}}}},
+		{name: "record of an era after that of the roster", control: &Control{Body: &Control_Roster{Roster: &Roster{Era: 1, Entries: []*RosterEntry{{Host: "a", Era: 2}}}}}},
+		{name: "record written after its era", control: &Control{Body: &Control_Roster{Roster: &Roster{Era: 2, Entries: []*RosterEntry{{Host: "a", Era: 1, WrittenEra: 2}}}}}},
 		{name: "relay slot out of range", control: &Control{Body: &Control_Invite{Invite: &Invite{Slot: 1 << 30}}}},
 	}
 	for _, tt := range tests {
