--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -84,6 +84,7 @@
 		h.recordFault(nil, "storeCompacts", duration)
 		h.platform.objects.Compact()
 	}},
+	{name: "storeRestored", inject: restoreStore},
 	{name: "storeCut", inject: linkFault("storeCut", func(n *node) *faulty.Link { return n.storeLink }, true)},
 	{name: "storeBlackhole", inject: linkFault("storeBlackhole", func(n *node) *faulty.Link { return n.storeLink }, false)},
 	{name: "nodeCut", inject: linkFault("nodeCut", func(n *node) *faulty.Link { return n.nodeLink }, true)},
--- a/internal/soak/harness_test.go
+++ b/internal/soak/harness_test.go
@@ -90,9 +90,15 @@
 	// checkBounds is true if the time bounds are checked too.
 	checkBounds bool
 
+	// operator is held while the operator writes a document.
+	operator sync.Mutex
+
 	mutex sync.Mutex
 	// versions lists the accepted versions, oldest first.
 	versions []accepted
+	// restoring is true while the store is being restored from a copy, or its operator has
+	// not yet written the newest document again.
+	restoring bool
 	// storeDisturbedUntil is when the last fault of the store ends.
 	storeDisturbedUntil time.Time
 }
@@ -360,6 +366,8 @@
 
 // submitChange writes the next version to the store.
 func (h *harness) submitChange() {
+	h.operator.Lock()
+	defer h.operator.Unlock()
 	ctx, cancel := context.WithTimeout(h.ctx, 2*time.Second)
 	defer cancel()
 	current, err := h.platform.client.Get(ctx, "config/main")
@@ -369,11 +377,7 @@
 	h.mutex.Lock()
 	version := h.versions[len(h.versions)-1].version + 1
 	h.mutex.Unlock()
-	service := "desk"
-	if version%2 == 0 {
-		service = "prints"
-	}
-	_, err = h.platform.client.Update(ctx, "config/main", configDocument(version, service), current.Version)
+	_, err = h.platform.client.Update(ctx, "config/main", configDocument(version, movedService(version)), current.Version)
 	if err != nil && !errors.Is(err, store.ErrOutcomeUnknown) {
 		return
 	}
--- a/internal/soak/platform_test.go
+++ b/internal/soak/platform_test.go
@@ -14,6 +14,7 @@
 
 	"arbutusstep.example/arbutusstep/internal/objapi"
 	"arbutusstep.example/arbutusstep/internal/store"
+	customer "arbutusstep.example/arbutusstep/platform"
 )
 
 // platform serves the object API that proxies use. The objects are those of a server
@@ -64,6 +65,23 @@
 	return r.PathValue("kind") + "/" + r.PathValue("name")
 }
 
+// respond runs a call to the store and writes its result with the store's era. A call
+// during which the store was restored is made again.
+func (p *platform) respond(w http.ResponseWriter, r *http.Request, run func(ctx context.Context) (value any, err error)) {
+	for {
+		era := p.client.Era()
+		value, err := run(store.WithEra(r.Context(), era))
+		if errors.Is(err, store.ErrNewEra) && !errors.Is(err, store.ErrOutcomeUnknown) && p.client.Era() > era {
+			continue
+		}
+		if era > 0 {
+			w.Header().Set(customer.EraHeader, strconv.FormatUint(era, 10))
+		}
+		writeResult(w, value, err)
+		return
+	}
+}
+
 // writeResult writes the value, or the status that matches the store's error.
 func writeResult(w http.ResponseWriter, value any, err error) {
 	var conflict *store.ConflictError
@@ -94,15 +112,17 @@
 		p.watch(w, r, prefix, from)
 		return
 	}
-	found, revision, err := p.client.List(r.Context(), prefix)
-	answer := struct {
-		Items []objectJSON `json:"items"`
-		At    uint64       `json:"at"`
-	}{At: revision}
-	for _, o := range found {
-		answer.Items = append(answer.Items, encodeObject(o))
-	}
-	writeResult(w, answer, err)
+	p.respond(w, r, func(ctx context.Context) (any, error) {
+		found, revision, err := p.client.List(ctx, prefix)
+		answer := struct {
+			Items []objectJSON `json:"items"`
+			At    uint64       `json:"at"`
+		}{At: revision}
+		for _, o := range found {
+			answer.Items = append(answer.Items, encodeObject(o))
+		}
+		return answer, err
+	})
 }
 
 func (p *platform) watch(w http.ResponseWriter, r *http.Request, prefix, from string) {
@@ -111,24 +131,28 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	events, next, err := p.client.Watch(r.Context(), prefix, revision)
 	type event struct {
 		Deleted bool       `json:"deleted"`
 		Object  objectJSON `json:"object"`
 	}
-	answer := struct {
-		Events []event `json:"events"`
-		At     uint64  `json:"at"`
-	}{Events: []event{}, At: next}
-	for _, e := range events {
-		answer.Events = append(answer.Events, event{Deleted: e.Deleted, Object: encodeObject(e.Object)})
-	}
-	writeResult(w, answer, err)
+	p.respond(w, r, func(ctx context.Context) (any, error) {
+		events, next, err := p.client.Watch(ctx, prefix, revision)
+		answer := struct {
+			Events []event `json:"events"`
+			At     uint64  `json:"at"`
+		}{Events: []event{}, At: next}
+		for _, e := range events {
+			answer.Events = append(answer.Events, event{Deleted: e.Deleted, Object: encodeObject(e.Object)})
+		}
+		return answer, err
+	})
 }
 
 func (p *platform) get(w http.ResponseWriter, r *http.Request) {
-	found, err := p.client.Get(r.Context(), objectKey(r))
-	writeResult(w, encodeObject(found), err)
+	p.respond(w, r, func(ctx context.Context) (any, error) {
+		found, err := p.client.Get(ctx, objectKey(r))
+		return encodeObject(found), err
+	})
 }
 
 func (p *platform) create(w http.ResponseWriter, r *http.Request) {
@@ -137,8 +161,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	created, err := p.client.Create(r.Context(), r.PathValue("kind")+"/"+body.Metadata.Name, body.Spec)
-	writeResult(w, encodeObject(created), err)
+	p.respond(w, r, func(ctx context.Context) (any, error) {
+		created, err := p.client.Create(ctx, r.PathValue("kind")+"/"+body.Metadata.Name, body.Spec)
+		return encodeObject(created), err
+	})
 }
 
 func (p *platform) update(w http.ResponseWriter, r *http.Request) {
@@ -147,8 +173,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	updated, err := p.client.Update(r.Context(), objectKey(r), body.Spec, body.Metadata.Revision)
-	writeResult(w, encodeObject(updated), err)
+	p.respond(w, r, func(ctx context.Context) (any, error) {
+		updated, err := p.client.Update(ctx, objectKey(r), body.Spec, body.Metadata.Revision)
+		return encodeObject(updated), err
+	})
 }
 
 func (p *platform) remove(w http.ResponseWriter, r *http.Request) {
@@ -157,5 +185,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	writeResult(w, struct{}{}, p.client.Delete(r.Context(), objectKey(r), revision))
+	p.respond(w, r, func(ctx context.Context) (any, error) {
+		return struct{}{}, p.client.Delete(ctx, objectKey(r), revision)
+	})
 }
