--- a/internal/ctrl/sourceselector.go
+++ b/internal/ctrl/sourceselector.go
@@ -299,6 +299,14 @@
 	next := s.Freshness.Get()
 	next.Direct, next.ConfirmedAt, next.Revision = s.watchesVersions && s.answered, latest(next.ConfirmedAt, s.lastConfirmed()), s.revision
 	next.Behind = isBehind(s.Proxy)
+	if next.Behind != s.Freshness.Get().Behind {
+		s.LogEvents.Send(cells.LogEvent{Name: "storeBehind", Fields: []cells.LogField{
+			{Name: "behind", Value: next.Behind},
+			{Name: "era", Value: s.era},
+			{Name: "inForce", Value: uint64(s.ActiveVersion.Get().Plan.Version())},
+			{Name: "elsewhere", Value: uint64(s.Roster.Read().NewestVersion())},
+		}})
+	}
 	if next != s.Freshness.Get() {
 		s.Freshness.Set(next)
 	}
--- a/internal/ctrl/storeera_test.go
+++ b/internal/ctrl/storeera_test.go
@@ -12,6 +12,7 @@
 	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
 )
 
 // recordsBack is the time within which all records are back in a restored store.
@@ -88,6 +89,7 @@
 // advanceAndCheck runs the simulation and checks at each step which upstreams the proxies
 // use.
 func (s *sim) advanceAndCheck(d time.Duration, used, unused mesh.HostID) {
+	checked := make(map[mesh.HostID]*pick.CandidateSet)
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.advance(simStep)
 		for _, p := range s.proxies {
@@ -96,6 +98,11 @@
 			}
 		}
 		for _, p := range s.proxies {
+			set := p.cells.Snapshot.Load().CandidateSets["orders"]
+			if last, found := checked[p.host]; found && last == set {
+				continue
+			}
+			checked[p.host] = set
 			found := make(map[mesh.HostID]bool)
 			for _, h := range candidates(p) {
 				found[h] = true
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -135,6 +135,7 @@
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
 		{"store_era", float64(p.cells.StoreEra.Load())},
+		{"store_behind", asNumber(p.cells.Freshness.Load().Behind)},
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
--- a/internal/sheet/node_test.go
+++ b/internal/sheet/node_test.go
@@ -15,7 +15,7 @@
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
-const completeNode = `{"host":"lsn-a-1","region":"ch-west","zone":"lsn-a","address":"10.0.0.1:7000","trip":"2ms","linkBytesPerSecond":1000,` +
+const completeNode = `{"host":"lsn-a-1","region":"ch-west","zone":"lsn-a","address":"10.0.0.1:7000","trip":"2ms","linkBytesPerSecond":1000,"storeEra":2,"version":7,` +
 	`"upstream":{"instance":"i-1","sequence":3,"service":"orders","address":"10.0.0.1:80","state":"ready","slots":9,"coldMilliseconds":1500}}`
 
 func TestDecodeNode(t *testing.T) {
@@ -23,7 +23,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, n, fleet.Node{
 		Host: "lsn-a-1", Place: mesh.Place{Region: "ch-west", Zone: "lsn-a"}, Address: netip.MustParseAddrPort("10.0.0.1:7000"),
-		PlatformRTT: 2 * time.Millisecond, LinkRate: 1000, Upstream: fleet.Upstream{
+		PlatformRTT: 2 * time.Millisecond, LinkRate: 1000, StoreEra: 2, Version: 7, Upstream: fleet.Upstream{
 			Instance: "i-1", Sequence: 3, Service: "orders", Address: netip.MustParseAddrPort("10.0.0.1:80"),
 			State: member.Ready, Slots: 9, ColdRemaining: 1500 * time.Millisecond,
 		},
