--- a/internal/ctrl/proxyupstream.go
+++ b/internal/ctrl/proxyupstream.go
@@ -200,11 +200,11 @@
 // acknowledge acknowledges the reports whose state is stored or whose deadline has
 // passed.
 func (u *proxyUpstream) acknowledge(now time.Time) {
-	node := u.StoredRecord.Get().Node
+	stored := u.StoredRecord.Get()
 	remaining := u.pendingAcks[:0]
 	for _, p := range u.pendingAcks {
-		recorded, upstream := [2]fleet.Upstream{node.Upstream, node.Beside}[p.place], u.pair.Trackers[p.place].Upstream()
-		isRecorded := recorded.Instance == upstream.Instance && recorded.StartedAt.Equal(upstream.StartedAt) && recorded.State == upstream.State
+		recorded, upstream := [2]fleet.Upstream{stored.Node.Upstream, stored.Node.Beside}[p.place], u.pair.Trackers[p.place].Upstream()
+		isRecorded := !stored.Outdated && recorded.Instance == upstream.Instance && recorded.StartedAt.Equal(upstream.StartedAt) && recorded.State == upstream.State
 		if !isRecorded && now.Before(p.deadline) {
 			remaining = append(remaining, p)
 			u.alarm.SetIfEarlier(p.deadline)
--- a/internal/ctrl/rolloutdirector.go
+++ b/internal/ctrl/rolloutdirector.go
@@ -34,6 +34,8 @@
 	alarm  board.Alarm
 	// orders contains the known orders by service; nil while this proxy is no root.
 	orders map[mesh.Service]*directedOrder
+	// era is the highest era of the store that an answer had. Answers of earlier eras are ignored.
+	era uint64
 	// answeredAt is when the platform last answered the watch.
 	answeredAt time.Time
 	// loaded is true once all orders were read, and published once that was set.
@@ -116,6 +118,10 @@
 	case e.Action == cells.PutStatus:
 		d.handleWrite(e, now)
 	case e.Action == cells.WatchObjects && e.Result == cells.StoreDone:
+		if e.Era < d.era {
+			return
+		}
+		d.era = e.Era
 		d.answeredAt = now
 		if e.Complete {
 			d.loaded = true
@@ -143,7 +149,7 @@
 			d.logRollout("rolloutNotWritten", e.Command.Service, cells.LogField{Name: "reason", Value: errorText(e.Err)})
 		}
 	}
-	if e.Current.Version > 0 {
+	if e.Current.Version > 0 && e.Current.Era >= d.era {
 		d.learn(e.Current, now)
 	}
 }
@@ -208,7 +214,7 @@
 		}
 		order.writing = true
 		d.ObjectCommands.Send(cells.ObjectCommand{
-			Action: cells.PutStatus, Kind: cells.RolloutObjects, Service: service, Status: status, Version: order.Revision(),
+			Action: cells.PutStatus, Kind: cells.RolloutObjects, Service: service, Status: status, Version: order.Revision(), Era: d.era,
 		})
 	}
 }
