Count refusals before the document that is to be refused is written

The test counted the lines after the write, so a refusal logged before that was waited for until the timeout.

--- a/internal/proxy/accounts_test.go
+++ b/internal/proxy/accounts_test.go
@@ -61,9 +61,10 @@
 		`{"name":"anna","API_KEYS":["sesame-1"],"priority":-1}`,
 	}
 	for i, accounts := range refused {
+		// The document may be refused before Update returns.
+		before := strings.Count(lines.String(), "versionRefused")
 		current, err = m.client.Update(t.Context(), "config/main", accountDocument(2+i, accounts), current.Version)
 		assert.NilError(t, err)
-		before := strings.Count(lines.String(), "versionRefused")
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			if strings.Count(lines.String(), "versionRefused") == before+1 {
 				return poll.Success()
