Use one piece of code where the parts for heavy load repeat one

- grants had its own sleep beside pause.For, and front and serve each checked the range of a status, which is wire.IsFinalStatus now.
- Three loops looked for a dialed peer of a host (cells.Peers.DialedTo), two places created the counts of a service (cells.OutcomeCounts.Of), and the comparison of releases built two maps for each sum of two counts (Count.plus).
- The token source kept whether it was the owner, which its cell tells, and Director.Next got the same time twice.
- Node.AcceptsRequests, Plan.NumAccounts, Stock.InHand and Table.Available had no callers left.

--- a/internal/cells/link.go
+++ b/internal/cells/link.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"arbutusstep.example/arbutusstep/internal/ctlmsg"
+	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
 // LinkID identifies a control link within one process.
@@ -99,6 +100,11 @@
 	return p.byLink[link]
 }
 
+// DialedTo lists the identified peers of a host that this proxy dialed, sorted by link.
+func (p *Peers) DialedTo(host mesh.HostID) []*Peer {
+	return slices.DeleteFunc(p.Identified(), func(peer *Peer) bool { return !peer.Dialed || peer.Hello.Host != host })
+}
+
 // Identified lists the peers that have sent Hello, sorted by link.
 func (p *Peers) Identified() []*Peer {
 	peers := make([]*Peer, 0, len(p.byLink))
--- a/internal/cells/rollout.go
+++ b/internal/cells/rollout.go
@@ -14,13 +14,18 @@
 // Add adds the other counts.
 func (c OutcomeCounts) Add(other OutcomeCounts) {
 	for service, counts := range other {
-		if c[service] == nil {
-			c[service] = make(shift.Counts)
-		}
-		c[service].Add(counts)
+		c.Of(service).Add(counts)
 	}
 }
 
+// Of returns the counts of a service, which can be changed.
+func (c OutcomeCounts) Of(service mesh.Service) shift.Counts {
+	if c[service] == nil {
+		c[service] = make(shift.Counts)
+	}
+	return c[service]
+}
+
 // RolloutViews holds the state of all orders as decided by this root. It is set again at
 // intervals, which confirms the shares.
 type RolloutViews struct {
--- a/internal/ctrl/rolloutagent.go
+++ b/internal/ctrl/rolloutagent.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"slices"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
@@ -213,10 +212,8 @@
 		return nil
 	}
 	for _, parent := range tree.Parents(self.Host, self.Place) {
-		isParent := func(p *cells.Peer) bool { return p.Dialed && p.Hello.Host == parent.Host }
-		peers := a.Peers.Read().Identified()
-		if i := slices.IndexFunc(peers, isParent); i >= 0 {
-			links = append(links, peers[i].Link)
+		if peers := a.Peers.Read().DialedTo(parent.Host); len(peers) > 0 {
+			links = append(links, peers[0].Link)
 			if !tree.IsRoot(parent.Host) {
 				return links
 			}
--- a/internal/ctrl/rolloutdirector.go
+++ b/internal/ctrl/rolloutdirector.go
@@ -208,7 +208,7 @@
 		if order.writing || now.Before(order.retryAt) {
 			continue
 		}
-		status, write := order.Next(now, now, d.upstreams(service, order, now))
+		status, write := order.Next(now, d.upstreams(service, order, now))
 		if !write {
 			continue
 		}
--- a/internal/ctrl/tokensource.go
+++ b/internal/ctrl/tokensource.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -30,8 +31,6 @@
 	dialedAt map[mesh.HostID]time.Time
 	// owners contains the owner that the far end of each link gets its tokens from.
 	owners map[cells.LinkID]mesh.HostID
-	// wasOwner is whether the log says that this proxy is the owner.
-	wasOwner bool
 }
 
 func newTokenSource(proxy *cells.Proxy) board.Controller {
@@ -71,10 +70,8 @@
 
 // ownerOf returns the owner that a parent gets its tokens from; empty if it is not known.
 func (s *tokenSource) ownerOf(parent mesh.HostID) (owner mesh.HostID) {
-	for _, p := range s.Peers.Read().Identified() {
-		if p.Dialed && p.Hello.Host == parent && s.owners[p.Link] != "" {
-			owner = s.owners[p.Link]
-		}
+	for _, p := range s.Peers.Read().DialedTo(parent) {
+		owner = cmp.Or(s.owners[p.Link], owner)
 	}
 	return owner
 }
@@ -122,7 +119,7 @@
 // isLinked reports whether there is a link to a host that this proxy dialed, on which its
 // reports are sent.
 func (s *tokenSource) isLinked(host mesh.HostID) bool {
-	return host != "" && slices.ContainsFunc(s.Peers.Read().Identified(), func(p *cells.Peer) bool { return p.Dialed && p.Hello.Host == host })
+	return host != "" && len(s.Peers.Read().DialedTo(host)) > 0
 }
 
 // shouldOwn reports whether this proxy should own the buckets: as the first root, as a
@@ -185,11 +182,11 @@
 	if choice.Owner {
 		next.Share = min(1, float64(next.Nodes)/float64(max(1, s.Roster.Read().Len())))
 	}
-	if next != s.TokenSource.Get() {
+	last := s.TokenSource.Get()
+	if next != last {
 		s.TokenSource.Set(next)
 	}
-	if next.Owner != s.wasOwner {
-		s.wasOwner = next.Owner
+	if next.Owner != last.Owner {
 		s.LogEvents.Send(cells.LogEvent{Name: "quotaOwner", Fields: []cells.LogField{
 			{Name: "owner", Value: next.Owner}, {Name: "parent", Value: string(next.Host)}, {Name: "nodes", Value: nodes},
 		}})
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -15,14 +15,12 @@
 
 	"arbutusstep.example/arbutusstep/internal/egress"
 	"arbutusstep.example/arbutusstep/internal/quota"
+	"arbutusstep.example/arbutusstep/internal/wire"
 )
 
 // pastDeadline is a deadline in the past. Setting it ends a blocked read.
 var pastDeadline = time.Unix(1, 0)
 
-// maxStatus is the highest status that is sent to a caller.
-const maxStatus = 599
-
 // connection is a connection of a caller.
 type connection struct {
 	server *Server
@@ -233,10 +231,9 @@
 	}
 }
 
-// replaceInvalid returns the response, or a 502 if its status can't be sent to a caller:
-// one below 200 is not the end of a response, and callers may not parse others.
+// replaceInvalid returns the response, or a 502 if its status can't be sent to a caller.
 func replaceInvalid(response *Response) *Response {
-	if response.Status >= http.StatusOK && response.Status <= maxStatus {
+	if wire.IsFinalStatus(response.Status) {
 		return response
 	}
 	return &Response{Status: http.StatusBadGateway, SendBy: response.SendBy, Release: response.Release}
--- a/internal/grants/acquire.go
+++ b/internal/grants/acquire.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/pause"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/plan"
 	"arbutusstep.example/arbutusstep/pkg/tokens"
@@ -34,10 +35,10 @@
 	decision, wait := q.keeper.Settle(time.Now(), limitOf(account), timeout, account.Name, answer, rand.Float64())
 	if wait > 0 {
 		q.mutex.Unlock()
-		slept := sleep(ctx, wait)
+		err := pause.For(ctx, wait)
 		q.mutex.Lock()
 		q.counters.Waited.Add(1)
-		if !slept {
+		if err != nil {
 			q.keeper.Refund(time.Now(), account.Name)
 			decision = tokens.Decision{}
 		}
@@ -61,18 +62,6 @@
 	return q.keeper.Abandon(claim)
 }
 
-// sleep waits unless the context ends before.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Refund gives back the token of a request that was not sent to any upstream.
 func (q *Quotas) Refund(account mesh.Account) {
 	q.mutex.Lock()
--- a/internal/serve/invalid.go
+++ b/internal/serve/invalid.go
@@ -8,24 +8,17 @@
 	"net"
 	"net/http"
 	"strings"
+
+	"arbutusstep.example/arbutusstep/internal/wire"
 )
 
 // protocolPrefix is what every response begins with.
 const protocolPrefix = "HTTP/"
 
-// maxStatus is the highest valid status.
-const maxStatus = 599
-
 // errInvalid means that the upstream sent a response that is invalid, so that the bytes
 // after it can't be attributed to any request.
 var errInvalid = errors.New("invalid response")
 
-// IsAnswer reports whether the status can be that of a response to a request. Older proxies
-// pass on others.
-func IsAnswer(status int) bool {
-	return status >= http.StatusOK && status <= maxStatus
-}
-
 // awaitPrefix waits until a response begins. It fails at the first byte of which no
 // response consists. Without it, a line that never ends would be awaited until the
 // deadline.
@@ -77,7 +70,7 @@
 		if announcesBody(response) {
 			return fmt.Errorf("%w: status %d with a body", errInvalid, status)
 		}
-	case !IsAnswer(status):
+	case !wire.IsFinalStatus(status):
 		return fmt.Errorf("%w: status %03d", errInvalid, status)
 	}
 	return nil
--- a/internal/serve/target.go
+++ b/internal/serve/target.go
@@ -68,12 +68,11 @@
 // SetTarget makes the handler forward calls to the target. Calls that were already
 // forwarded are not interrupted.
 func (h *Handler) SetTarget(target Target) {
+	h.occupancy.setTarget(h, target)
 	if old := h.upstream.Load(); old != nil && old.matches(target) {
 		old.setAdmitUntil(target.AdmitUntil)
-		h.occupancy.setTarget(h, target)
 		return
 	}
-	h.occupancy.setTarget(h, target)
 	var next *upstream
 	if target.Address.IsValid() {
 		next = &upstream{pool: connPool{address: target.Address.String(), dial: h.dial}, occupancy: &h.occupancy, headers: h.headerCodec(), service: target.Service, instance: target.Instance}
--- a/internal/steer/fetch.go
+++ b/internal/steer/fetch.go
@@ -10,6 +10,7 @@
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/quota"
 	"arbutusstep.example/arbutusstep/internal/serve"
+	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 )
 
@@ -75,7 +76,8 @@
 	if result.err != nil {
 		return result
 	}
-	if status := int(result.reply.Head.GetStatus()); !serve.IsAnswer(status) {
+	if status := int(result.reply.Head.GetStatus()); !wire.IsFinalStatus(status) {
+		// Nodes of older builds pass on any status.
 		result.err = &peer.CallError{Outcome: peer.Unknown, Reason: serve.ReasonInvalidResponse, Err: errors.Join(fmt.Errorf("status %d", status), result.reply.Body.Close())}
 		result.reply = nil
 		return result
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -42,10 +42,7 @@
 	if t.counts == nil {
 		t.counts = make(cells.OutcomeCounts)
 	}
-	if t.counts[rs.service] == nil {
-		t.counts[rs.service] = make(shift.Counts)
-	}
-	change(t.counts[rs.service])
+	change(t.counts.Of(rs.service))
 }
 
 // candidateSet returns the upstreams for the next attempt at a request. The first attempt
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -81,11 +81,6 @@
 	ColdRemaining time.Duration
 }
 
-// AcceptsRequests reports whether other nodes may send new requests to the node.
-func (n *Node) AcceptsRequests() bool {
-	return !n.Leaving && n.Upstream.Instance != "" && n.Upstream.State.AcceptsRequests()
-}
-
 // Serving lists the upstreams of the node to which other nodes may send new requests.
 func (n *Node) Serving() (upstreams []Upstream) {
 	for _, u := range []Upstream{n.Upstream, n.Beside} {
--- a/pkg/plan/account.go
+++ b/pkg/plan/account.go
@@ -78,14 +78,6 @@
 	return p != nil && len(p.accounts.byName) > 0
 }
 
-// NumAccounts returns the number of accounts.
-func (p *Plan) NumAccounts() int {
-	if p == nil {
-		return 0
-	}
-	return len(p.accounts.byName)
-}
-
 // Account returns the account of that name, or nil if there is none.
 func (p *Plan) Account(name mesh.Account) *Account {
 	if p == nil {
--- a/pkg/shift/count.go
+++ b/pkg/shift/count.go
@@ -70,14 +70,15 @@
 // Add adds the other counts.
 func (c Counts) Add(other Counts) {
 	for key, o := range other {
-		entry := c[key]
-		entry.Responses += o.Responses
-		entry.Failures += o.Failures
-		entry.Timed += o.Timed
-		entry.LogSum += o.LogSum
-		entry.LogSquares += o.LogSquares
-		entry.Late += o.Late
-		c[key] = entry
+		c[key] = c[key].plus(o)
+	}
+}
+
+// plus returns the sum of two counts.
+func (c Count) plus(o Count) Count {
+	return Count{
+		Responses: c.Responses + o.Responses, Failures: c.Failures + o.Failures, Timed: c.Timed + o.Timed,
+		LogSum: c.LogSum + o.LogSum, LogSquares: c.LogSquares + o.LogSquares, Late: c.Late + o.Late,
 	}
 }
 
--- a/pkg/shift/director.go
+++ b/pkg/shift/director.go
@@ -209,8 +209,8 @@
 }
 
 // Next returns the status to write, fenced by the revision of the object; write is false
-// if there is none. unixTime makes terms increase if all that is known was lost.
-func (d *Director) Next(now, unixTime time.Time, upstreams Upstreams) (next Status, write bool) {
+// if there is none. The time of day makes terms increase if all that is known was lost.
+func (d *Director) Next(now time.Time, upstreams Upstreams) (next Status, write bool) {
 	current := d.object.Status
 	isFinal := current.Phase.Final()
 	if d.withdrawn || isFinal && !d.stale || d.object.Revision == 0 || !d.mayWrite(now) {
@@ -222,7 +222,7 @@
 	}
 	next.Holder, next.Target = d.Host, d.object.Order.Target
 	next.Elapsed = now.Sub(d.orderedAt)
-	next.Term = max(d.term+1, uint64(max(0, unixTime.UnixMilli())))
+	next.Term = max(d.term+1, uint64(max(0, now.UnixMilli())))
 	unchanged := next.Phase == current.Phase && next.Share == current.Share && next.Holder == current.Holder && slices.Equal(next.Canaries, current.Canaries)
 	if unchanged && !d.stale && now.Sub(d.revisedAt) < renewInterval {
 		return next, false
--- a/pkg/shift/evidence.go
+++ b/pkg/shift/evidence.go
@@ -99,16 +99,11 @@
 func byRoute(counts Counts, target mesh.Release) map[string]Comparison {
 	routes := make(map[string]Comparison)
 	for key, c := range counts {
-		sum := Counts{{}: routes[key.Route].Others}
-		if key.Release == target {
-			sum = Counts{{}: routes[key.Route].Target}
-		}
-		sum.Add(Counts{{}: c})
 		entry := routes[key.Route]
 		if key.Release == target {
-			entry.Target = sum[Key{}]
+			entry.Target = entry.Target.plus(c)
 		} else {
-			entry.Others = sum[Key{}]
+			entry.Others = entry.Others.plus(c)
 		}
 		routes[key.Route] = entry
 	}
--- a/pkg/shift/fleet_test.go
+++ b/pkg/shift/fleet_test.go
@@ -312,7 +312,7 @@
 			}
 		})
 	}
-	next, write := r.director.Next(s.now, s.now, s.upstreams(r))
+	next, write := r.director.Next(s.now, s.upstreams(r))
 	if !write || r.writing || s.now.Before(r.retryAt) {
 		return
 	}
--- a/pkg/tokens/stock.go
+++ b/pkg/tokens/stock.go
@@ -184,16 +184,6 @@
 	}
 }
 
-// InHand returns the number of tokens of an account.
-func (s *Stock) InHand(now time.Time, account mesh.Account) int {
-	h := s.accounts[account]
-	if h == nil {
-		return 0
-	}
-	h.expire(now)
-	return h.inHand()
-}
-
 func (s *Stock) holding(account mesh.Account) *holding {
 	h := s.accounts[account]
 	if h == nil {
--- a/pkg/tokens/table.go
+++ b/pkg/tokens/table.go
@@ -122,16 +122,6 @@
 	}
 }
 
-// Available returns the number of tokens that an account has now; below zero if some are
-// promised.
-func (t *Table) Available(now time.Time, account mesh.Account) float64 {
-	t.Advance(now)
-	if b := t.buckets[account]; b != nil {
-		return b.limiter.TokensAt(t.clock())
-	}
-	return 0
-}
-
 // clock returns the time on the clock of the buckets.
 func (t *Table) clock() time.Time { return emptyTime.Add(t.filled) }
 
