--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,7 +18,7 @@
 // cases holds the cases by name. Each returns what it saw of the rule being broken; nothing if
 // the rule held. trouble is false if the disruption is to be left out.
 var cases = map[string]func(record string, trouble bool) (broken []string){
-	"keys": keysCase, "path": pathCase, "rollout": rolloutCase,
+	"keys": keysCase, "path": pathCase, "rollout": rolloutCase, "settings": settingsCase,
 }
 
 func main() {
--- a/review/standin-2/proc.go
+++ b/review/standin-2/proc.go
@@ -42,8 +42,11 @@
 	}
 }
 
-// start starts the process with settings as deploy/proxy.yaml makes them.
-func (p *Proxy) start() {
+// file is the settings file.
+func (p *Proxy) file() string { return filepath.Join(p.Dir, p.Name+".yaml") }
+
+// writeSettings writes the settings as deploy/proxy.yaml makes them.
+func (p *Proxy) writeSettings() {
 	text := fmt.Sprintf(`host: %s
 region: %s
 zone: %s
@@ -64,12 +67,16 @@
   link: 200.0
   process: 284
 %s`, p.Name, p.Region, p.Zone, p.Service, p.Store, p.Callers, p.Nodes, p.Admin, p.Ready, p.Extra)
-	file := filepath.Join(p.Dir, p.Name+".yaml")
-	must(os.WriteFile(file, []byte(text), 0o600))
+	must(os.WriteFile(p.file(), []byte(text), 0o600))
+}
+
+// start starts the process.
+func (p *Proxy) start() {
+	p.writeSettings()
 	log, err := os.OpenFile(filepath.Join(p.Dir, p.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	must(err)
 	defer func() { _ = log.Close() }()
-	p.cmd = exec.Command(binary, "proxy", "--config", file)
+	p.cmd = exec.Command(binary, "proxy", "--config", p.file())
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.Dir}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -34,6 +34,8 @@
 	era    uint64
 	away   bool
 	copies []storeCopy
+	// servers are those of the addresses at which the store answers.
+	servers map[string]*http.Server
 }
 
 type object struct {
@@ -65,12 +67,29 @@
 }
 
 func newStore() *Store {
-	s := &Store{rev: 100, floor: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
+	s := &Store{rev: 100, floor: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{}), servers: map[string]*http.Server{}}
+	s.Addr = s.listen()
+	return s
+}
+
+// listen makes the store answer at one more address, which it returns.
+func (s *Store) listen() (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	s.Addr = l.Addr().String()
-	go func() { _ = (&http.Server{Handler: s, ReadHeaderTimeout: time.Minute}).Serve(l) }()
-	return s
+	address = l.Addr().String()
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	s.mu.Lock()
+	s.servers[address] = server
+	s.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	return address
+}
+
+// closeListener makes the store leave an address.
+func (s *Store) closeListener(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.servers[address].Close()
 }
 
 // record adds a change to the history. The mutex must be held.
