--- a/review/standin-2/case_path.go
+++ b/review/standin-2/case_path.go
@@ -30,8 +30,12 @@
 		return status
 	}
 	requests := []request{
-		{"GET", viewHost, "/lohu930/2f?page=2"}, {"GET", viewHost, "/lohu930//2f"}, {"POST", orderHost, "/pufi791/2f"},
-		{"GET", viewHost, "/archive/2026/notice-17"}, {"GET", viewHost, "//archive/2026/notice-17"}, {"POST", orderHost, "//orders/17?copies=2"},
+		{"GET", viewHost, "/lohu930/2f?page=2"},
+		{"GET", viewHost, "/lohu930//2f"},
+		{"POST", orderHost, "/pufi791/2f"},
+		{"GET", viewHost, "/archive/2026/notice-17"},
+		{"GET", viewHost, "//archive/2026/notice-17"},
+		{"POST", orderHost, "//orders/17?copies=2"},
 	}
 	for _, r := range requests {
 		w.Record.Say("before: %s %s of %s: %d", r.method, r.target, r.host, send(r))
