Serve the last release of a service although an order bars it

A rollout had been completed, and the store was then restored from a copy 3.5 s old while all processes were started again.

Cause: the copy says that the order runs and that the old upstreams are ready. Requests went to hosts that are gone (dial-failed in the logs, until nodeSwept after 14 s), the order was rolled back at its time limit for want of responses, and the target of a rolled back order gets no requests, even if no other release has an upstream.

Change: upstreams that an order keeps requests from serve once every other release has been absent for 5 s, and cease to when one is back. Records from before the restoration do not count as present. Without evidence, an order is rolled back only if another upstream is known to run. Related paths: an order for the release that runs, old upstreams lost or removed during a trial or after a rollback, a restored store without a restart.

--- a/internal/cells/proxy.go
+++ b/internal/cells/proxy.go
@@ -275,6 +275,9 @@
 	// Trials contains the services of which a part of the requests goes to upstreams of
 	// another release, which are not in CandidateSets.
 	Trials map[mesh.Service]ServiceTrial
+	// LastResort contains the services whose CandidateSets are upstreams that an order
+	// keeps requests from, because no others are left.
+	LastResort map[mesh.Service]bool
 	// CountOutcomes contains the services whose outcomes are counted by release.
 	CountOutcomes map[mesh.Service]bool
 	// LocalUpstream is the upstream on the proxy's host; its Instance is empty if
--- a/internal/cells/roster.go
+++ b/internal/cells/roster.go
@@ -194,13 +194,20 @@
 // leaving, was written before the store was restored.
 func (r *Roster) HasOutdated(host mesh.HostID) bool {
 	for h, e := range r.entries {
-		if h != host && e.Written.Era < r.Era && !e.Node.Leaving {
+		if h != host && r.IsOutdated(h) && !e.Node.Leaving {
 			return true
 		}
 	}
 	return false
 }
 
+// IsOutdated reports whether the record of the host was written before the store was
+// restored. The host may be gone since.
+func (r *Roster) IsOutdated(host mesh.HostID) bool {
+	entry, found := r.entries[host]
+	return found && entry.Written.Era < r.Era
+}
+
 // UnreadableVersion returns the version of the host's object if it exists but contains
 // no record, otherwise zero.
 func (r *Roster) UnreadableVersion(host mesh.HostID) uint64 {
--- a/internal/ctrl/rollout_test.go
+++ b/internal/ctrl/rollout_test.go
@@ -14,6 +14,7 @@
 	"arbutusstep.example/arbutusstep/pkg/fleet"
 	"arbutusstep.example/arbutusstep/pkg/member"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
+	"arbutusstep.example/arbutusstep/pkg/pick"
 	"arbutusstep.example/arbutusstep/pkg/shift"
 )
 
@@ -26,6 +27,14 @@
 	failing float64
 	// sent counts the requests by release.
 	sent map[mesh.Release]int
+	// served and unserved count the requests by whether an upstream that runs was chosen.
+	served, unserved int
+	// quiet is true while no requests come.
+	quiet bool
+	// silent is the release whose upstreams send no reports; empty for none.
+	silent mesh.Release
+	// onStep is called after each step of run; it may be nil.
+	onStep func()
 	// logs counts the log lines by name.
 	logs map[string]int
 }
@@ -58,7 +67,12 @@
 
 // report registers an upstream of the release at every proxy.
 func (s *rolloutSim) report(release mesh.Release, age time.Duration) {
-	for _, p := range s.proxies {
+	s.reportAt(release, age, s.proxies...)
+}
+
+// reportAt registers an upstream of the release at some proxies.
+func (s *rolloutSim) reportAt(release mesh.Release, age time.Duration, proxies ...*simProxy) {
+	for _, p := range proxies {
 		address := addressOf(p.host)
 		p.cells.UpstreamReports.Post(cells.PendingReport{Report: fleet.Report{Upstream: fleet.Upstream{
 			Instance: string(release) + "-" + string(p.host), StartedAt: s.now.Add(-age), Sequence: uint64(s.now.UnixMilli()), Service: "orders",
@@ -69,6 +83,9 @@
 
 // play sends the requests of one interval through a proxy and posts their outcomes.
 func (s *rolloutSim) play(p *simProxy) {
+	if s.quiet {
+		return
+	}
 	snapshot := p.cells.Snapshot.Load()
 	counts := make(shift.Counts)
 	for range 20 {
@@ -76,10 +93,12 @@
 		if trial, found := snapshot.Trials["orders"]; found && trial.Takes(s.now, "r", s.random.Float64()) {
 			set = trial.Set
 		}
-		candidates := set.Candidates()
+		candidates := slices.DeleteFunc(slices.Clone(set.Candidates()), func(c pick.Candidate) bool { return !s.isRunning(c.Node) })
 		if len(candidates) == 0 {
+			s.unserved++
 			continue
 		}
+		s.served++
 		release := candidates[s.random.IntN(len(candidates))].Release
 		s.sent[release]++
 		counts.Record(shift.Key{Release: release, Route: "r"}, shift.Outcome{Failed: release == "v2" && s.random.Float64() < s.failing, ServiceTime: 100 * time.Millisecond})
@@ -87,6 +106,11 @@
 	p.cells.Outcomes.Post(cells.OutcomeCounts{"orders": counts})
 }
 
+// isRunning reports whether a process accepts sessions at the address.
+func (s *rolloutSim) isRunning(node netip.AddrPort) bool {
+	return slices.ContainsFunc(s.proxies, func(p *simProxy) bool { return addressOf(p.host) == node })
+}
+
 // order writes an order for the service.
 func (s *rolloutSim) order(target mesh.Release, status shift.Status) {
 	s.write(cells.RolloutObjects, "orders", encodeRollout(shift.Object{Order: shift.Order{Service: "orders", Target: target, Duration: 12 * time.Second}, Status: status}))
@@ -95,18 +119,29 @@
 // run renews the registrations while it advances.
 func (s *rolloutSim) run(d time.Duration) {
 	for ; d > 0; d -= 500 * time.Millisecond {
-		for _, release := range []mesh.Release{"v1", "v2"} {
-			for _, p := range s.proxies {
-				for _, u := range []fleet.Upstream{p.cells.LocalUpstream.Load().Upstream, p.cells.BesideUpstream.Load().Upstream} {
-					if u.Release == release {
-						u.Sequence++
-						u.State = member.Ready
-						p.cells.UpstreamReports.Post(cells.PendingReport{Report: fleet.Report{Upstream: u}})
-					}
-				}
+		s.renew()
+		if s.onStep == nil {
+			s.advance(500 * time.Millisecond)
+			continue
+		}
+		for range 500 * time.Millisecond / simStep {
+			s.advance(simStep)
+			s.onStep()
+		}
+	}
+}
+
+// renew renews the registrations of the upstreams that are not silent.
+func (s *rolloutSim) renew() {
+	for _, p := range s.proxies {
+		for _, u := range []fleet.Upstream{p.cells.LocalUpstream.Load().Upstream, p.cells.BesideUpstream.Load().Upstream} {
+			if u.Instance == "" || u.Release == s.silent || u.State == member.Left {
+				continue
 			}
+			u.Sequence++
+			u.State = member.Ready
+			p.cells.UpstreamReports.Post(cells.PendingReport{Report: fleet.Report{Upstream: u}})
 		}
-		s.advance(500 * time.Millisecond)
 	}
 }
 
--- a/internal/ctrl/rolloutdirector.go
+++ b/internal/ctrl/rolloutdirector.go
@@ -236,7 +236,8 @@
 // upstreams describes the upstreams of a service.
 func (d *rolloutDirector) upstreams(service mesh.Service, order *directedOrder, now time.Time) (u shift.Upstreams) {
 	seenAt := make(map[string]time.Time)
-	for _, n := range d.Roster.Read().Nodes() {
+	roster := d.Roster.Read()
+	for _, n := range roster.Nodes() {
 		for _, up := range n.Serving() {
 			switch {
 			case up.Service != service:
@@ -250,6 +251,9 @@
 			default:
 				u.Slots += up.Slots
 				u.Count++
+				if roster.IsOutdated(n.Host) {
+					u.Outdated++
+				}
 				if !slices.Contains(u.Releases, up.Release) {
 					u.Releases = append(u.Releases, up.Release)
 				}
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -124,8 +124,9 @@
 		fleet.Upstream
 		handler *serve.Handler
 	}{{snapshot.LocalUpstream, &p.handler}, {snapshot.BesideUpstream, &p.beside.handler}}
-	view := rollouts.Views[mesh.Service(call.Head.GetService())]
-	if release == view.Status.Target && view.RoleOf(release) == shift.Barred {
+	service := mesh.Service(call.Head.GetService())
+	view := rollouts.Views[service]
+	if release == view.Status.Target && view.RoleOf(release) == shift.Barred && !snapshot.LastResort[service] {
 		return &p.beside.none
 	}
 	for _, u := range upstreams {
@@ -162,12 +163,13 @@
 // updateRolloutGauges updates the gauges of the orders in force. It runs on the control
 // thread.
 func (p *Proxy) updateRolloutGauges() {
-	rollouts := p.cells.Rollouts.Load()
+	rollouts, lastResort := p.cells.Rollouts.Load(), p.cells.Snapshot.Load().LastResort
 	for service, view := range rollouts.Views {
 		scope := p.metrics.Scope.Tagged(map[string]string{"service": string(service), "release": string(view.Status.Target)})
 		scope.Gauge("rollout_share").Update(rollouts.Trials[service].Share)
 		scope.Gauge("rollout_phase").Update(float64(view.Status.Phase))
 		scope.Gauge("rollout_halted").Update(asNumber(view.Halted))
+		scope.Gauge("rollout_last_resort").Update(asNumber(lastResort[service]))
 	}
 	p.metrics.Scope.Gauge("beside_running").Update(float64(p.beside.gate.Load().Running))
 }
--- a/pkg/shift/director.go
+++ b/pkg/shift/director.go
@@ -55,6 +55,9 @@
 	Targets []Instance
 	// Slots is the number of slots of the other upstreams, and Count their number.
 	Slots, Count int
+	// Outdated is the number of those among Count that were last known to run before the
+	// store was restored, and may be gone.
+	Outdated int
 	// Releases are the releases of the other upstreams.
 	Releases []mesh.Release
 }
@@ -257,11 +260,7 @@
 			complete(next, upstreams)
 		}
 	case elapsed >= duration-promoteStep:
-		if !d.isProven(now, late, upstreams) {
-			rollBack(next, "not enough responses or capacity at the time limit")
-			return
-		}
-		complete(next, upstreams)
+		d.end(now, next, late, upstreams)
 	case next.Share >= stepShare:
 		if now.Sub(d.stageAt) >= promoteStep {
 			promote(now, next, 1, upstreams)
@@ -273,6 +272,19 @@
 	}
 }
 
+// end ends the order at its time limit. Without evidence against the target, a rollback
+// needs other upstreams that take the requests; until one is known to run, the trial goes on.
+func (d *Director) end(now time.Time, next *Status, late bool, upstreams Upstreams) {
+	switch {
+	case d.isProven(now, late, upstreams):
+		complete(next, upstreams)
+	case upstreams.Count > upstreams.Outdated:
+		rollBack(next, "not enough responses or capacity at the time limit")
+	default:
+		d.try(now, next, upstreams)
+	}
+}
+
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
