Keep the end of an order when the roots and the store forget it

The other proxies knew the end and gave it up: a version that was rolled back got 17 to 22 requests of some 2,500 again, and a completed one lost its place to the old one.

Cause: the end lived in one object and in the memory of the roots. New roots wrote "running" with a term above that of the end, since terms include the time of day.

Change: an end replaces every other status of its order, whatever the terms, and is written without the lease. Proxies tell their state once on each link to a parent, and roots take an end from them or from their own agent. Since, which tells two orders of a release apart, is now unique.

--- a/internal/ctrl/rolloutagent.go
+++ b/internal/ctrl/rolloutagent.go
@@ -26,6 +26,9 @@
 	// subscribers contains the links that subscribed, and whether the state in force was
 	// sent on them.
 	subscribers map[cells.LinkID]bool
+	// told contains the links to parents on which the state in force was sent. A parent may
+	// have been started again, and know less of an order than its children.
+	told map[cells.LinkID]bool
 	// unsent holds the outcomes that are to be sent up.
 	unsent cells.OutcomeCounts
 	// collectedAt and countsSentAt are when outcomes were last collected and sent.
@@ -44,7 +47,7 @@
 }
 
 func newRolloutAgent(proxy *cells.Proxy) board.Controller {
-	a := &rolloutAgent{Proxy: proxy, subscribers: make(map[cells.LinkID]bool), unsent: make(cells.OutcomeCounts)}
+	a := &rolloutAgent{Proxy: proxy, subscribers: make(map[cells.LinkID]bool), told: make(map[cells.LinkID]bool), unsent: make(cells.OutcomeCounts)}
 	return board.Controller{
 		Name:   "rolloutAgent",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.Outcomes, &proxy.RolloutViews, &a.alarm},
@@ -77,6 +80,7 @@
 		a.publish()
 	}
 	a.sendState(now)
+	a.tellParents(now)
 	if a.agent.Running() {
 		a.collect(now)
 	}
@@ -85,13 +89,18 @@
 func (a *rolloutAgent) handleLink(e cells.LinkEvent, now time.Time) (changed bool) {
 	if e.Kind == cells.LinkDown {
 		delete(a.subscribers, e.Link)
+		delete(a.told, e.Link)
 		return false
 	}
 	switch m := e.Message.(type) {
 	case ctlmsg.Subscribe:
 		a.subscribers[e.Link] = false
 	case ctlmsg.ShiftState:
-		return a.learn(m.Views, now.Add(-m.Age))
+		changed = a.learn(m.Views, now.Add(-m.Age))
+		if _, isChild := a.subscribers[e.Link]; isChild && changed {
+			clear(a.told)
+		}
+		return changed
 	case ctlmsg.Roster:
 		return a.setLoaded(m.HasRollouts)
 	case ctlmsg.ShiftCounts:
@@ -187,6 +196,20 @@
 	a.confirmed = false
 }
 
+// tellParents sends the state once on each link to a parent.
+func (a *rolloutAgent) tellParents(now time.Time) {
+	views := a.agent.Views()
+	if len(views) == 0 {
+		return
+	}
+	for _, l := range a.parentLinks() {
+		if !a.told[l] {
+			a.told[l] = true
+			proxySend(a.Proxy, l, ctlmsg.ShiftState{Views: views, Age: now.Sub(a.confirmedAt)})
+		}
+	}
+}
+
 // collect requests the outcomes of this proxy and sends the sums up.
 func (a *rolloutAgent) collect(now time.Time) {
 	if now.Sub(a.collectedAt) >= collectInterval {
@@ -207,17 +230,38 @@
 // uplinks returns the links on which counts are sent. Each root gets all counts, so that
 // any of them can decide; of other parents only one does, so that none are counted twice.
 func (a *rolloutAgent) uplinks() (links []cells.LinkID) {
+	for _, parent := range a.linkedParents() {
+		links = append(links, parent.link)
+		if !parent.isRoot {
+			return links
+		}
+	}
+	return links
+}
+
+// parentLinks returns the links to all parents.
+func (a *rolloutAgent) parentLinks() (links []cells.LinkID) {
+	for _, parent := range a.linkedParents() {
+		links = append(links, parent.link)
+	}
+	return links
+}
+
+// linkedParent is a parent to which this proxy has a link.
+type linkedParent struct {
+	link   cells.LinkID
+	isRoot bool
+}
+
+func (a *rolloutAgent) linkedParents() (parents []linkedParent) {
 	self, tree := a.Self.Get(), a.Tree.Get()
 	if tree == nil {
 		return nil
 	}
-	for _, parent := range tree.Parents(self.Host, self.Place) {
-		if peers := a.Peers.Read().DialedTo(parent.Host); len(peers) > 0 {
-			links = append(links, peers[0].Link)
-			if !tree.IsRoot(parent.Host) {
-				return links
-			}
+	for _, n := range tree.Parents(self.Host, self.Place) {
+		if peers := a.Peers.Read().DialedTo(n.Host); len(peers) > 0 {
+			parents = append(parents, linkedParent{link: peers[0].Link, isRoot: tree.IsRoot(n.Host)})
 		}
 	}
-	return links
+	return parents
 }
--- a/internal/ctrl/rolloutdirector.go
+++ b/internal/ctrl/rolloutdirector.go
@@ -67,7 +67,7 @@
 	return board.Controller{
 		Name:   "rolloutDirector",
 		Reads:  []board.Ref{&proxy.LinkEvents, &proxy.ObjectEvents, &proxy.Outcomes, &proxy.Tree, &proxy.Roster, &proxy.ActiveVersion, &d.alarm},
-		Uses:   []board.Ref{&proxy.Self},
+		Uses:   []board.Ref{&proxy.Self, &proxy.Rollouts},
 		Writes: []board.Ref{&proxy.RolloutViews, &proxy.ObjectCommands, &proxy.LogEvents, &d.alarm},
 		Step:   d.step,
 	}
@@ -86,8 +86,11 @@
 		d.handleObjects(e, now)
 	}
 	for _, e := range links {
-		if m, ok := e.Message.(ctlmsg.ShiftCounts); ok {
+		switch m := e.Message.(type) {
+		case ctlmsg.ShiftCounts:
 			d.observe(m.Counts, now)
+		case ctlmsg.ShiftState:
+			d.recall(m.Views, now)
 		}
 	}
 	for _, o := range outcomes {
@@ -132,6 +135,19 @@
 		for _, o := range e.Objects {
 			d.learn(o, now)
 		}
+		if e.Complete {
+			d.recall(slices.Collect(maps.Values(d.Rollouts.Get().Views)), now)
+		}
+	}
+}
+
+// recall takes the states that other proxies have in force. The copy from which the store was
+// restored may be older, and the roots that decided since may be gone.
+func (d *rolloutDirector) recall(views []shift.View, now time.Time) {
+	for _, v := range views {
+		if order := d.orders[v.Service]; order != nil {
+			order.Recall(now, v.Status)
+		}
 	}
 }
 
--- a/pkg/shift/agent.go
+++ b/pkg/shift/agent.go
@@ -30,7 +30,8 @@
 }
 
 // Learn takes a view that a root confirmed at the given time. changed is true if it differs from what was
-// in force. A view with a lower term is older and is ignored. A halted trial stays halted
+// in force. A view with a lower term is older and is ignored, and so is one of an order that has
+// ended. A halted trial stays halted
 // until another order or the status says otherwise.
 func (a *Agent) Learn(confirmedAt time.Time, view View) (changed bool) {
 	e := a.entries[view.Service]
@@ -41,7 +42,8 @@
 		a.entries[view.Service] = &entry{view: view, heardAt: confirmedAt}
 		return true
 	}
-	if view.Status.Term < e.view.Status.Term {
+	isEnd := view.Status.ends(&e.view.Status)
+	if e.view.Status.ends(&view.Status) || !isEnd && view.Status.Term < e.view.Status.Term {
 		return false
 	}
 	if confirmedAt.After(e.heardAt) {
@@ -52,7 +54,7 @@
 		e.own, e.stopped = Evidence{}, false
 	}
 	view.Halted = view.Halted || e.view.Halted && sameTrial && !view.Status.Phase.Final()
-	changed = view.Status.Term != e.view.Status.Term || view.Halted != e.view.Halted
+	changed = isEnd || view.Status.Term != e.view.Status.Term || view.Halted != e.view.Halted
 	e.view = view
 	return changed
 }
--- a/pkg/shift/director.go
+++ b/pkg/shift/director.go
@@ -47,6 +47,8 @@
 	// minResponses is the number of responses of the target without which it is not
 	// promoted.
 	minResponses = 25
+	// recalledReason is the reason of a rollback that is known from other hosts only.
+	recalledReason = "rolled back before the store was restored"
 )
 
 // Upstreams describes the upstreams of a service as known to a root.
@@ -116,12 +118,13 @@
 		// The status is about another order: only the excluded releases remain.
 		object.Status = Status{Target: object.Order.Target, Term: object.Status.Term + 1, Excluded: excludedAfter(object)}
 	}
-	d.stale = !isNew && object.Status.Term < d.object.Status.Term
+	hasEnded := !isNew && d.object.Status.ends(&object.Status)
+	d.stale = hasEnded || !isNew && object.Status.Term < d.object.Status.Term
+	d.term = max(d.term, object.Status.Term)
 	if d.stale {
 		object.Status = d.object.Status
 	}
-	d.term = max(d.term, object.Status.Term)
-	if isNew {
+	if isNew || hasEnded {
 		d.term++
 	}
 	if object.Status.Since == 0 {
@@ -154,6 +157,20 @@
 	return excluded
 }
 
+// Recall takes the status that another host has in force. If it ends the order, it is in
+// force here too, and is written again: the store was restored from a copy that lacks it.
+func (d *Director) Recall(now time.Time, status Status) {
+	if !status.ends(&d.object.Status) {
+		return
+	}
+	if status.Phase == RolledBack && status.Reason == "" {
+		status.Reason = recalledReason
+	}
+	d.object.Status = status
+	d.term = max(d.term+1, status.Term)
+	d.stageAt, d.stale = now, true
+}
+
 // Withdraw takes the deletion of the object by its operator.
 func (d *Director) Withdraw() {
 	if !d.withdrawn {
@@ -220,12 +237,12 @@
 		return next, false
 	}
 	next = current
-	if !isFinal {
-		d.decide(now, &next, upstreams)
-	}
 	next.Holder, next.Target = d.Host, d.object.Order.Target
 	next.Elapsed = now.Sub(d.orderedAt)
 	next.Term = max(d.term+1, uint64(max(0, now.UnixMilli())))
+	if !isFinal {
+		d.decide(now, &next, upstreams)
+	}
 	unchanged := next.Phase == current.Phase && next.Share == current.Share && next.Holder == current.Holder && slices.Equal(next.Canaries, current.Canaries)
 	if unchanged && !d.stale && now.Sub(d.revisedAt) < renewInterval {
 		return next, false
@@ -235,6 +252,10 @@
 
 // mayWrite reports whether this root holds the lease or may take it.
 func (d *Director) mayWrite(now time.Time) bool {
+	if d.stale && d.object.Status.Phase.Final() {
+		// The holder of the lease does not know that the order has ended.
+		return true
+	}
 	switch d.object.Status.Holder {
 	case d.Host:
 		return true
@@ -247,7 +268,7 @@
 // decide sets the phase and the share.
 func (d *Director) decide(now time.Time, next *Status, upstreams Upstreams) {
 	if next.Phase == Pending {
-		next.Phase, next.Since, next.Excluded = Running, d.term+1, include(next.Excluded, next.Target)
+		next.Phase, next.Since, next.Excluded = Running, next.Term, include(next.Excluded, next.Target)
 	}
 	d.judge(now)
 	elapsed, duration := now.Sub(d.orderedAt), d.object.Order.Duration
--- a/pkg/shift/shift.go
+++ b/pkg/shift/shift.go
@@ -83,6 +83,13 @@
 	Reason string
 }
 
+// ends reports whether the status is the end of the order whose other status is not final. No
+// later status of that order replaces an end, whatever its term: whoever wrote it did not know
+// of the end.
+func (s *Status) ends(other *Status) bool {
+	return s.Phase.Final() && !other.Phase.Final() && s.Target == other.Target && s.Since == other.Since
+}
+
 // Object is an order with its status, as read from the store.
 type Object struct {
 	Order  Order
