Require keys after a version with an empty list of accounts

Cause: an empty list of accounts counted as no list. That the proxies had taken the version shows in the requests: unknown keys ran, and the keys were passed on without an account, neither of which the version before allows.

Related path: where keys are revoked, the headers are discarded under every version, since the first one with accounts may not be known yet.

--- a/internal/ctrl/verifier.go
+++ b/internal/ctrl/verifier.go
@@ -99,7 +99,7 @@
 func (v *verifier) logRefusals(now verify.Moment) {
 	limit := verify.MaxAge(v.Self.Get().Revocation)
 	age, found := v.tracker.Age(now)
-	refusing := v.ActiveVersion.Get().Plan.HasAccounts() && (!found || age > limit)
+	refusing := v.ActiveVersion.Get().Plan.IdentifiesCallers() && (!found || age > limit)
 	if found && age <= limit {
 		// The alarm is set one nanosecond later, when the age exceeds the limit.
 		v.alarm.Set(now.Time.Add(limit - age + 1))
--- a/internal/ctrl/versionapplier.go
+++ b/internal/ctrl/versionapplier.go
@@ -131,6 +131,7 @@
 		{Name: "from", Value: string(source)},
 		{Name: "bytes", Value: len(document)},
 		{Name: "rules", Value: decoded.NumRules()},
+		{Name: "keysRequired", Value: decoded.IdentifiesCallers()},
 	}})
 	return true
 }
--- a/internal/proxy/revocation_test.go
+++ b/internal/proxy/revocation_test.go
@@ -22,6 +22,32 @@
 	return fmt.Appendf(bytes.TrimSuffix(document, []byte("}")), `,"tenants":[{"name":"anna","api_keys":[%q]}]}`, key)
 }
 
+// TestKeysEndWithTheLastAccount guards against requests that run, with a key that was taken
+// away or with any other, after a version with an empty list of accounts.
+func TestKeysEndWithTheLastAccount(t *testing.T) {
+	m := newMeshWith(t, meshOptions{document: accountDocument(1, `{"name":"anna","api_keys":["key-a"]}`)}, "orders", "orders")
+	await := func(want string) {
+		for _, p := range m.proxies {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if got := p.resultWithKey(t, "key-a"); !strings.HasPrefix(got, want) {
+					return poll.Continue("%s", got)
+				}
+				return poll.Success()
+			}, pollTimeout)
+		}
+	}
+	await("200 ")
+	current, err := m.client.Get(t.Context(), "config/main")
+	assert.NilError(t, err)
+	_, err = m.client.Update(t.Context(), "config/main", accountDocument(2, ""), current.Version)
+	assert.NilError(t, err)
+	await("401 unknown-key")
+	for _, p := range m.proxies {
+		assert.Equal(t, p.resultWithKey(t, "key-b"), "401 unknown-key")
+		assert.Equal(t, p.resultWithKey(t, ""), "401 no-key")
+	}
+}
+
 // resultWithKey sends a request with a key, or without one if it is empty, and returns the
 // status and the body.
 func (p *testProxy) resultWithKey(t *testing.T, key string) string {
--- a/internal/steer/account.go
+++ b/internal/steer/account.go
@@ -12,7 +12,7 @@
 // revoked, otherwise nil.
 func (r *Router) identify(rs *requestState) *front.Response {
 	version := rs.snapshot.Plan
-	if !version.HasAccounts() {
+	if !version.IdentifiesCallers() {
 		return nil
 	}
 	keys := r.keys(rs.request)
--- a/internal/steer/account_test.go
+++ b/internal/steer/account_test.go
@@ -21,6 +21,13 @@
 // accountPlan returns a version with two accounts, and a rule for requests with and
 // without keys.
 func accountPlan(t *testing.T) *plan.Plan {
+	t.Helper()
+	return planWithAccounts(t,
+		&plan.Account{Name: "anna", Keys: []string{"key-a1", "key-a2"}, Priority: 0}, &plan.Account{Name: "ben", Keys: []string{"key-b"}, Priority: 1})
+}
+
+// planWithAccounts returns a version that lists the accounts, which may be none.
+func planWithAccounts(t *testing.T, accounts ...*plan.Account) *plan.Plan {
 	t.Helper()
 	rule := func(prefix string, anonymous bool) *plan.Rule {
 		return &plan.Rule{
@@ -28,8 +35,7 @@
 			Services: []plan.WeightedService{{Service: "orders", Weight: 1}},
 		}
 	}
-	built, err := plan.New(5, plan.Limits{}, []plan.Service{{Name: "orders"}}, []*plan.Rule{rule("/keyed/", false), rule("/open/", true)},
-		&plan.Account{Name: "anna", Keys: []string{"key-a1", "key-a2"}, Priority: 0}, &plan.Account{Name: "ben", Keys: []string{"key-b"}, Priority: 1})
+	built, err := plan.NewWithAccounts(5, plan.Limits{}, []plan.Service{{Name: "orders"}}, []*plan.Rule{rule("/keyed/", false), rule("/open/", true)}, accounts)
 	assert.NilError(t, err)
 	return built
 }
@@ -42,6 +48,8 @@
 		name string
 		path string
 		keys []string
+		// noAccounts is true if the version lists no account any more.
+		noAccounts bool
 		// age is the time since the version was confirmed.
 		age          time.Duration
 		wantStatus   int
@@ -61,6 +69,10 @@
 		{name: "anonymous request", path: "/open/1", wantStatus: 200, wantPriority: mesh.Normal},
 		{name: "known key where none is required", path: "/open/1", keys: []string{"key-b"}, wantStatus: 200, wantAccount: "ben", wantPriority: mesh.Normal},
 		{name: "unknown key where none is required", path: "/open/1", keys: []string{"key-c"}, wantStatus: 200, wantPriority: mesh.Normal},
+		{name: "key taken away with the last account", path: "/keyed/1", keys: []string{"key-b"}, noAccounts: true, wantStatus: 401, wantReason: steer.ReasonUnknownKey},
+		{name: "no key after the last account", path: "/keyed/1", noAccounts: true, wantStatus: 401, wantReason: steer.ReasonNoKey},
+		{name: "last account, old version", path: "/keyed/1", keys: []string{"key-b"}, noAccounts: true, age: time.Minute, wantStatus: 503, wantReason: steer.ReasonVersionUnconfirmed},
+		{name: "key taken away where none is required", path: "/open/1", keys: []string{"key-b"}, noAccounts: true, wantStatus: 200, wantPriority: mesh.High},
 		{name: "unknown path with an unknown key", path: "/other/1", keys: []string{"key-c"}, wantStatus: 404, wantReason: steer.ReasonNoRule},
 	}
 	for _, tt := range tests {
@@ -69,6 +81,9 @@
 			r, recorded := newRouter(t, plan.Idempotent, 1, caller)
 			source := r.Snapshots.(fixedSnapshot)
 			source.age, source.snapshot.Plan = tt.age, accountPlan(t)
+			if tt.noAccounts {
+				source.snapshot.Plan = planWithAccounts(t)
+			}
 			r.Snapshots = source
 			headers := http.Header{"Key": tt.keys, "Account": {"forged"}}
 			request := &front.Request{Method: "GET", Host: "a.example", Path: tt.path, Target: tt.path, Arrived: time.Now(), HeaderValue: headers.Get, HeaderValues: headers.Values}
@@ -182,19 +197,34 @@
 	assert.Equal(t, recorded.last.Reason, steer.ReasonUnknownKey)
 }
 
-// TestHeadersPassWithoutAccounts guards the meshes whose versions have no accounts: there,
-// the headers that identify accounts are headers like any other.
-func TestHeadersPassWithoutAccounts(t *testing.T) {
-	caller := &scriptedCaller{results: []callResult{{status: http.StatusOK}}}
-	r, _ := newRouter(t, plan.Idempotent, 1, caller)
-	request := &front.Request{Method: "GET", Host: "a.example", Path: "/o/1", Target: "/o/1", Arrived: time.Now(), HeaderValue: http.Header{}.Get}
-	request.Headers = []*wire.Header{{Name: "Key", Value: "x"}, {Name: "Account", Value: "y"}}
-	assert.Equal(t, r.Handle(t.Context(), request).Status, http.StatusOK)
-	names := make([]string, 0, len(caller.calls[0].GetHeaders()))
-	for _, h := range caller.calls[0].GetHeaders() {
-		names = append(names, h.GetName())
+// TestHeadersWithoutAccounts guards the meshes whose versions have no accounts, where the
+// headers that identify accounts are headers like any other, and against keys that reach
+// upstreams where a version with accounts is not known yet.
+func TestHeadersWithoutAccounts(t *testing.T) {
+	tests := []struct {
+		name  string
+		guard steer.KeyGuard
+		want  []string
+	}{
+		{name: "keys are not revoked", want: []string{"Key", "Account", "origin"}},
+		{name: "keys are revoked", guard: keyGuard(true), want: []string{"origin"}},
+		{name: "keys are revoked, old version", guard: keyGuard(false), want: []string{"origin"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			caller := &scriptedCaller{results: []callResult{{status: http.StatusOK}}}
+			r, _ := newRouter(t, plan.Idempotent, 1, caller)
+			r.KeyGuard = tt.guard
+			request := &front.Request{Method: "GET", Host: "a.example", Path: "/o/1", Target: "/o/1", Arrived: time.Now(), HeaderValue: http.Header{}.Get}
+			request.Headers = []*wire.Header{{Name: "Key", Value: "x"}, {Name: "Account", Value: "y"}}
+			assert.Equal(t, r.Handle(t.Context(), request).Status, http.StatusOK)
+			names := make([]string, 0, len(caller.calls[0].GetHeaders()))
+			for _, h := range caller.calls[0].GetHeaders() {
+				names = append(names, h.GetName())
+			}
+			assert.DeepEqual(t, names, tt.want)
+		})
 	}
-	assert.DeepEqual(t, names, []string{"Key", "Account", "origin"})
 }
 
 // TestAccountWithTooManyPendingRequestsIsRefused guards against an account that holds all
--- a/internal/steer/call.go
+++ b/internal/steer/call.go
@@ -30,9 +30,11 @@
 // upstreamHeaders returns the headers that are sent to the upstream.
 func (r *Router) upstreamHeaders(rs *requestState) (headers []*wire.Header) {
 	headers = make([]*wire.Header, 0, len(rs.request.Headers)+1)
-	hasAccounts := rs.snapshot.Plan.HasAccounts()
+	// Where keys are revoked, a version without accounts may be older than the first one that
+	// has them, or one that took them away. Keys stay secret, and account names true.
+	discardsKeys := rs.snapshot.Plan.IdentifiesCallers() || r.KeyGuard != nil
 	for _, h := range rs.request.Headers {
-		if r.Headers.IsReserved(h.GetName()) || hasAccounts && r.Headers.IdentifiesAccount(h.GetName()) {
+		if r.Headers.IsReserved(h.GetName()) || discardsKeys && r.Headers.IdentifiesAccount(h.GetName()) {
 			continue
 		}
 		headers = append(headers, h)
--- a/internal/steer/nested.go
+++ b/internal/steer/nested.go
@@ -38,7 +38,7 @@
 // requests of callers, and the called node decides.
 func (r *Router) classify(rs *requestState) {
 	rs.priority = rs.snapshot.Plan.Priority(rs.rule, rs.account)
-	if r.Nested == nil || !rs.snapshot.Plan.HasAccounts() || rs.account != nil || !rs.rule.AllowAnonymous {
+	if r.Nested == nil || !rs.snapshot.Plan.IdentifiesCallers() || rs.account != nil || !rs.rule.AllowAnonymous {
 		return
 	}
 	rs.priority, rs.nested = r.Nested.Priority(rs.request.Arrived, rs.rule.Name, rs.priority)
@@ -47,7 +47,7 @@
 // reportOrigin records what a called node reports about the calls of the rule.
 func (r *Router) reportOrigin(now time.Time, rs *requestState, reply *wire.ReplyHead) {
 	known := reply.GetOnlyUpstreams() || reply.GetCallersKnown()
-	if known && r.Nested != nil && rs.snapshot.Plan.HasAccounts() && rs.rule.AllowAnonymous {
+	if known && r.Nested != nil && rs.snapshot.Plan.IdentifiesCallers() && rs.rule.AllowAnonymous {
 		r.Nested.Report(now, rs.rule.Name, reply.GetOnlyUpstreams())
 	}
 }
--- a/internal/steer/router.go
+++ b/internal/steer/router.go
@@ -65,7 +65,7 @@
 	// Keys returns the keys of client accounts that the caller sent.
 	Keys(values func(name string) []string) []string
 	// IdentifiesAccount reports whether the header identifies a client account. It is
-	// not forwarded if the version in force has accounts.
+	// not forwarded if the version in force identifies callers, or if KeyGuard is set.
 	IdentifiesAccount(name string) bool
 	// AccountHeader returns the header that tells an upstream the account of the caller.
 	AccountHeader(account mesh.Account) (name, value string)
@@ -233,7 +233,7 @@
 	if response := r.identify(rs); response != nil {
 		return response
 	}
-	if rs.snapshot.Plan.HasAccounts() {
+	if rs.snapshot.Plan.IdentifiesCallers() {
 		end, admitted := r.Intake.Begin(rs.record.Account)
 		if !admitted {
 			return r.localResponse(rs, http.StatusServiceUnavailable, ReasonAccountPending, r.retryAfterOverload(rs))
--- a/pkg/plan/account.go
+++ b/pkg/plan/account.go
@@ -22,8 +22,11 @@
 	Burst float64
 }
 
-// accounts holds the accounts of a version. The zero accounts is empty.
+// accounts holds the accounts of a version. The zero accounts is that of a version that says
+// nothing of accounts.
 type accounts struct {
+	// listed is true if the version lists its accounts, though there may be none.
+	listed bool
 	byName map[mesh.Account]*Account
 	byKey  map[string]*Account
 	// lowest and highest are the least and the largest Priority of all accounts.
@@ -32,10 +35,7 @@
 
 // newAccounts checks the accounts. Errors name accounts and contain no keys.
 func newAccounts(list []*Account) (a accounts, err error) {
-	if len(list) == 0 {
-		return a, nil
-	}
-	a = accounts{byName: make(map[mesh.Account]*Account, len(list)), byKey: make(map[string]*Account, len(list)), lowest: math.MaxInt}
+	a = accounts{listed: true, byName: make(map[mesh.Account]*Account, len(list)), byKey: make(map[string]*Account, len(list)), lowest: math.MaxInt}
 	for _, account := range list {
 		if err = a.add(account); err != nil {
 			return accounts{}, fmt.Errorf("account %q: %w", account.Name, err)
@@ -73,9 +73,10 @@
 	return n >= 0 && !math.IsInf(n, 1)
 }
 
-// HasAccounts reports whether requests are identified by keys.
-func (p *Plan) HasAccounts() bool {
-	return p != nil && len(p.accounts.byName) > 0
+// IdentifiesCallers reports whether requests are identified by keys. It is true for a version
+// whose list of accounts is empty: all keys were taken away then.
+func (p *Plan) IdentifiesCallers() bool {
+	return p != nil && p.accounts.listed
 }
 
 // Account returns the account of that name, or nil if there is none.
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -144,8 +144,18 @@
 
 // New returns the plan of a version. One invalid rule or account makes the whole
 // version invalid, and the error names it. Errors are of type *InvalidError and contain
-// no keys.
+// no keys. Without accounts, callers are not identified.
 func New(version mesh.Version, limits Limits, services []Service, rules []*Rule, accounts ...*Account) (built *Plan, err error) {
+	return newPlan(version, limits, services, rules, len(accounts) > 0, accounts)
+}
+
+// NewWithAccounts returns the plan of a version that identifies callers by their keys, also
+// if its list of accounts is empty. Otherwise it is like New.
+func NewWithAccounts(version mesh.Version, limits Limits, services []Service, rules []*Rule, accounts []*Account) (built *Plan, err error) {
+	return newPlan(version, limits, services, rules, true, accounts)
+}
+
+func newPlan(version mesh.Version, limits Limits, services []Service, rules []*Rule, identify bool, accounts []*Account) (built *Plan, err error) {
 	defer func() {
 		if err != nil {
 			built, err = nil, &InvalidError{Version: version, Err: err}
@@ -172,10 +182,10 @@
 			return nil, fmt.Errorf("rule %q of host %q: %w", r.Name, r.Host, err)
 		}
 	}
-	if built.accounts, err = newAccounts(accounts); err != nil {
-		return nil, err
+	if identify {
+		built.accounts, err = newAccounts(accounts)
 	}
-	return built, nil
+	return built, err
 }
 
 func (p *Plan) addRule(rule *Rule) (err error) {
