--- a/internal/store/calls.go
+++ b/internal/store/calls.go
@@ -47,7 +47,8 @@
 			after = max(after, o.Key)
 			objects = append(objects, o)
 		}
-		if !page.More || len(page.Objects) == 0 {
+		after = max(after, page.Last)
+		if !page.More {
 			return objects, revision, nil
 		}
 		if after == previous {
--- a/internal/store/codec.go
+++ b/internal/store/codec.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"fmt"
 	"net/http"
 	"net/url"
 	"time"
@@ -23,8 +24,20 @@
 	Revision uint64
 	// More is true when further pages follow.
 	More bool
+	// Last is the key from which the next page continues, if it is after those of Objects:
+	// the codec may leave out objects that are being deleted.
+	Last string
 }
 
+// MissingMemberError means that a response lacks a member. What it would tell is not known,
+// and in particular not that there is nothing.
+type MissingMemberError struct {
+	Member string
+}
+
+// Error implements error.
+func (e *MissingMemberError) Error() string { return fmt.Sprintf("response without %q", e.Member) }
+
 // ErrorDetails is the decoded body of an error response.
 type ErrorDetails struct {
 	// Current is the stored object on a conflict, nil when the response does not
--- a/internal/store/keyvalue.go
+++ b/internal/store/keyvalue.go
@@ -97,14 +97,20 @@
 func (KeyValueCodec) DecodePage(prefix string, data []byte) (page Page, err error) {
 	var response struct {
 		Objects  json.RawMessage `json:"objects"`
-		Revision uint64          `json:"revision"`
+		Revision *uint64         `json:"revision"`
 		More     bool            `json:"more"`
 	}
 	if err = json.Unmarshal(data, &response); err != nil {
 		return page, err
 	}
-	page = Page{Revision: response.Revision, More: response.More}
-	err = jscan.Array(orNull(response.Objects), func(element []byte) error {
+	switch {
+	case response.Objects == nil:
+		return page, &MissingMemberError{Member: "objects"}
+	case response.Revision == nil:
+		return page, &MissingMemberError{Member: "revision"}
+	}
+	page = Page{Revision: *response.Revision, More: response.More}
+	err = jscan.Array(response.Objects, func(element []byte) error {
 		page.Objects = append(page.Objects, decodeElement(prefix, element, page.Revision))
 		return nil
 	})
@@ -130,17 +136,23 @@
 func (KeyValueCodec) DecodeEvents(prefix string, data []byte) (events []Event, next uint64, err error) {
 	var response struct {
 		Events json.RawMessage `json:"events"`
-		Next   uint64          `json:"next"`
+		Next   *uint64         `json:"next"`
 	}
 	if err = json.Unmarshal(data, &response); err != nil {
 		return nil, 0, err
 	}
-	events = []Event{}
-	err = jscan.Array(orNull(response.Events), func(element []byte) error {
-		events = append(events, decodeEvent(prefix, element, response.Next))
+	switch {
+	case response.Events == nil:
+		return nil, 0, &MissingMemberError{Member: "events"}
+	case response.Next == nil:
+		return nil, 0, &MissingMemberError{Member: "next"}
+	}
+	events, next = []Event{}, *response.Next
+	err = jscan.Array(response.Events, func(element []byte) error {
+		events = append(events, decodeEvent(prefix, element, next))
 		return nil
 	})
-	return events, response.Next, err
+	return events, next, err
 }
 
 // decodeEvent decodes one event. One whose kind can't be decoded is malformed.
@@ -156,14 +168,6 @@
 	return event
 }
 
-// orNull returns a JSON null for a member that is missing.
-func orNull(value json.RawMessage) json.RawMessage {
-	if len(value) == 0 {
-		return json.RawMessage("null")
-	}
-	return value
-}
-
 // DecodeEra implements Codec.
 func (KeyValueCodec) DecodeEra(header http.Header) (era uint64) {
 	// A header that is no number counts as missing.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -353,6 +353,11 @@
 			keys:  []string{"a/b", "a/", "a/c"},
 		},
 		{name: "pages without any name", pages: []store.Page{{Objects: []store.Object{{Key: "", Malformed: odd}}, More: true}}, want: store.ErrUnavailable},
+		{
+			name:  "page of objects that are being deleted",
+			pages: []store.Page{{Last: "a/b", More: true}, {Objects: []store.Object{{Key: "a/c"}}}}, keys: []string{"a/c"},
+		},
+		{name: "page without objects and more to come", pages: []store.Page{{More: true}}, want: store.ErrUnavailable},
 		{name: "keys out of order", pages: []store.Page{{Objects: []store.Object{{Key: "a/c"}, {Key: "a/b"}}}}, want: store.ErrUnavailable},
 	}
 	for _, tt := range tests {
--- a/pkg/shift/director.go
+++ b/pkg/shift/director.go
@@ -324,14 +324,19 @@
 	}
 }
 
-// promote sets the same share on all routes, for all instances that are warm.
+// promote sets the same share on all routes, for all instances that are warm. If none is known
+// to be, as after a restart, the instances stay: no instances would mean all of them.
 func promote(now time.Time, next *Status, share float64, upstreams Upstreams) {
-	next.Share, next.RouteShares, next.Canaries = share, nil, nil
+	var warm []string
 	for _, i := range upstreams.Targets {
 		if i.warm(now) {
-			next.Canaries = append(next.Canaries, i.ID)
+			warm = append(warm, i.ID)
 		}
 	}
+	next.Share, next.RouteShares = share, nil
+	if len(warm) > 0 {
+		next.Canaries = warm
+	}
 }
 
 // try sets the share of the trial and its canaries.
--- a/pkg/shift/presence_test.go
+++ b/pkg/shift/presence_test.go
@@ -86,3 +86,32 @@
 		})
 	}
 }
+
+// TestPromotionKeepsWarmInstances guards against a step of the promotion that sends requests to
+// all instances, cold ones too, because none is known to be warm after a restart.
+func TestPromotionKeepsWarmInstances(t *testing.T) {
+	tests := []struct {
+		name string
+		// age is how long the instances have been known.
+		age  time.Duration
+		want []string
+	}{
+		{name: "known", age: time.Minute, want: []string{"new0", "new1"}},
+		{name: "known since the restart", want: []string{"new0"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+			d := shift.Director{Host: "root0"}
+			status := shift.Status{Phase: shift.Running, Target: "v2", Holder: "root0", Term: 9, Since: 3, Elapsed: 9 * time.Second, Share: 0.3, Canaries: []string{"new0"}}
+			d.Learn(now, shift.Object{Order: shift.Order{Service: service, Target: "v2", Duration: 12 * time.Second}, Status: status, Revision: 10})
+			now = now.Add(time.Second)
+			next, write := d.Next(now, shift.Upstreams{Count: 2, Slots: 20, Targets: []shift.Instance{
+				{ID: "new0", Slots: 10, SeenAt: now.Add(-tt.age)}, {ID: "new1", Slots: 10, SeenAt: now.Add(-tt.age)},
+			}})
+			assert.Assert(t, write)
+			assert.Equal(t, next.Share, 1.0)
+			assert.DeepEqual(t, next.Canaries, tt.want)
+		})
+	}
+}
