Use one type for both upstreams of a host

A proxy held the gate, the handler and the slot count of its first upstream, and besideUpstream the same of its second one. Both are a servedUpstream now. The default of the memory for bodies stood alike in the front end and the handler of calls; cmp.Or does it.

--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -112,7 +113,7 @@
 		}()
 		source = chunked
 	}
-	body = c.server.bodyMemory().Hold()
+	body = cmp.Or(c.server.Memory, &c.server.ownMemory).Hold()
 	err = body.Read(source, length, limit)
 	var tooLong *quota.TooLongError
 	switch {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -231,13 +231,6 @@
 	return s.Limits().withDefaults()
 }
 
-func (s *Server) bodyMemory() *quota.Memory {
-	if s.Memory == nil {
-		return &s.ownMemory
-	}
-	return s.Memory
-}
-
 // shouldClose reports whether a connection is closed after its next response.
 func (s *Server) shouldClose() bool {
 	return s.isStopping() || s.Draining != nil && s.Draining()
--- a/internal/proxy/healthcheck.go
+++ b/internal/proxy/healthcheck.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return cells.HealthResult{Reason: err.Error()}
 	}
-	end := p.handler.BeginCheck()
+	end := p.local.handler.BeginCheck()
 	response, err := p.healthClient.Do(request)
 	end(err == nil)
 	if err != nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,7 +38,6 @@
 	"arbutusstep.example/arbutusstep/internal/store"
 	"arbutusstep.example/arbutusstep/pkg/board"
 	"arbutusstep.example/arbutusstep/pkg/fleet"
-	"arbutusstep.example/arbutusstep/pkg/gate"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/nested"
 	"arbutusstep.example/arbutusstep/pkg/plan"
@@ -123,13 +122,15 @@
 	peers          peer.Server
 	links          *links.Driver
 
+	// local and beside serve calls to the upstreams of this host, and noUpstream rejects calls
+	// to a release that is not on it.
+	local, beside servedUpstream
+	noUpstream    serve.Handler
+
 	egressLink    egress.Link
 	bodyMemory    quota.Memory
-	gate          gate.Gate
-	handler       serve.Handler
 	quotas        grants.Quotas
 	nestedCalls   nested.Tracker
-	beside        besideUpstream
 	router        steer.Router
 	front         front.Server
 	metrics       *meter.Meter
@@ -142,9 +143,6 @@
 	snapshotReadyClosed bool
 	// healthClient sends health checks to the upstream, each on a new connection.
 	healthClient http.Client
-	// gateSlots is the number of slots that the gate was last configured with; control
-	// thread only.
-	gateSlots int
 	// queuedWhileFree is the moving share of time in which requests wait here while
 	// another host of the service has a free slot; control thread only.
 	queuedWhileFree float64
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -92,7 +92,7 @@
 
 // Status returns the current state.
 func (p *Proxy) Status() Status {
-	active, snapshot, load := p.cells.ActiveVersion.Load(), p.cells.Snapshot.Load(), p.gate.Load()
+	active, snapshot, load := p.cells.ActiveVersion.Load(), p.cells.Snapshot.Load(), p.local.gate.Load()
 	beside := snapshot.BesideUpstream
 	besideState := ""
 	if beside.Instance != "" {
@@ -125,11 +125,11 @@
 // control thread.
 func (p *Proxy) updateGauges(now time.Time) {
 	p.updateVerifiedAge(now)
-	load, counters, sessions := p.gate.Load(), p.handler.Counters(), p.peers.Stats()
-	sharing, intake := p.gate.Sharing(), p.router.Intake.Stats()
+	load, counters, sessions := p.local.gate.Load(), p.local.handler.Counters(), p.peers.Stats()
+	sharing, intake := p.local.gate.Sharing(), p.router.Intake.Stats()
 	nestedCalls, raised := p.nestedCalls.Stats()
 	balance := p.updateBalance(now, load)
-	held, limit := p.handler.Held()
+	held, limit := p.local.handler.Held()
 	gauges := []gauge{
 		{"version_in_force", float64(p.cells.ActiveVersion.Load().Plan.Version())},
 		{"version_refused", asNumber(p.cells.ActiveVersion.Load().RefusalReason != "")},
@@ -138,7 +138,7 @@
 		{"nodes_known", float64(p.cells.Snapshot.Load().NodeCount)},
 		{"gate_running", float64(load.Running)},
 		{"gate_waiting", float64(load.Waiting)},
-		{"gate_wait_p99_seconds", p.gate.WaitQuantile(now, waitPercentile).Seconds()},
+		{"gate_wait_p99_seconds", p.local.gate.WaitQuantile(now, waitPercentile).Seconds()},
 		{"service_busy_spread", balance.Spread},
 		{"queued_while_free_share", p.queuedWhileFree},
 		{"gate_accounts_waiting", float64(sharing.Accounts)},
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -53,11 +53,11 @@
 			p.cells.LifecycleCommands.Post(cells.Withdraw)
 			withdrawn, lastBusy = true, now
 		}
-		if mayGetRequests || p.front.PendingRequests() > 0 || p.gate.Load().Running+p.beside.gate.Load().Running > 0 {
+		if mayGetRequests || p.front.PendingRequests() > 0 || p.local.gate.Load().Running+p.beside.gate.Load().Running > 0 {
 			lastBusy = now
 		}
 		if now.Sub(lastBusy) >= idlePeriod || now.After(deadline) {
-			p.logger.Info().Dur("after", now.Sub(start)).Int("unanswered", p.front.PendingRequests()).Int("running", p.gate.Load().Running).
+			p.logger.Info().Dur("after", now.Sub(start)).Int("unanswered", p.front.PendingRequests()).Int("running", p.local.gate.Load().Running).
 				Int64("missed", p.readiness.failures.Load()).Msg("left")
 			return
 		}
--- a/internal/proxy/upstreams.go
+++ b/internal/proxy/upstreams.go
@@ -22,25 +22,22 @@
 // full load.
 var floors = [mesh.NumPriorities]int{mesh.Low: 5, mesh.Normal: 5, mesh.High: 10}
 
-// besideUpstream serves calls to a second upstream of the host, which has slots of its
-// own.
-type besideUpstream struct {
+// servedUpstream serves calls to one upstream of the host.
+type servedUpstream struct {
 	gate    gate.Gate
 	handler serve.Handler
 	// gateSlots is the number of slots that the gate was last configured with; control
 	// thread only.
 	gateSlots int
-	// none rejects calls to a release that is not on this host.
-	none serve.Handler
 }
 
 // initHandlers sets up the handlers of calls to the upstreams of this host.
 func (p *Proxy) initHandlers() {
 	p.router.Nested, p.router.GiveUpSilent = &p.nestedCalls, p.settings.Load().SilentUpstreams
-	p.initHandler(&p.handler, &p.gate)
+	p.initHandler(&p.local.handler, &p.local.gate)
 	p.initHandler(&p.beside.handler, &p.beside.gate)
-	p.initHandler(&p.beside.none, &p.gate)
-	p.handler.OnUnreachable = func() { p.reportUnreachable(p.cells.Snapshot.Load().LocalUpstream) }
+	p.initHandler(&p.noUpstream, &p.local.gate)
+	p.local.handler.OnUnreachable = func() { p.reportUnreachable(p.cells.Snapshot.Load().LocalUpstream) }
 	p.beside.handler.OnUnreachable = func() { p.reportUnreachable(p.cells.Snapshot.Load().BesideUpstream) }
 }
 
@@ -61,16 +58,16 @@
 // applyUpstreams configures the gates and the handlers by the snapshot. It runs on the
 // control thread.
 func (p *Proxy) applyUpstreams(snapshot *cells.ProxySnapshot) {
-	configureGate(&p.gate, &p.gateSlots, snapshot.LocalUpstream)
-	configureGate(&p.beside.gate, &p.beside.gateSlots, snapshot.BesideUpstream)
-	p.handler.SetTarget(p.targetOf(snapshot, snapshot.LocalUpstream, snapshot.AdmitUntil))
+	p.local.configureGate(snapshot.LocalUpstream)
+	p.beside.configureGate(snapshot.BesideUpstream)
+	p.local.handler.SetTarget(p.targetOf(snapshot, snapshot.LocalUpstream, snapshot.AdmitUntil))
 	p.beside.handler.SetTarget(p.targetOf(snapshot, snapshot.BesideUpstream, snapshot.BesideAdmitUntil))
 }
 
-func configureGate(g *gate.Gate, slots *int, upstream fleet.Upstream) {
-	if upstream.Slots > 0 && upstream.Slots != *slots {
-		*slots = upstream.Slots
-		g.Configure(gate.Config{Slots: upstream.Slots, Floors: floors, FixedLimit: true, PredictWait: true})
+func (u *servedUpstream) configureGate(upstream fleet.Upstream) {
+	if upstream.Slots > 0 && upstream.Slots != u.gateSlots {
+		u.gateSlots = upstream.Slots
+		u.gate.Configure(gate.Config{Slots: upstream.Slots, Floors: floors, FixedLimit: true, PredictWait: true})
 	}
 }
 
@@ -116,18 +113,18 @@
 // know yet that the upstream was replaced.
 func (p *Proxy) handlerFor(call *peer.Call) *serve.Handler {
 	if call.Head.Release == nil {
-		return &p.handler
+		return &p.local.handler
 	}
 	snapshot, rollouts := p.cells.Snapshot.Load(), p.cells.Rollouts.Load()
 	release := mesh.Release(call.Head.GetRelease())
 	upstreams := []struct {
 		fleet.Upstream
 		handler *serve.Handler
-	}{{snapshot.LocalUpstream, &p.handler}, {snapshot.BesideUpstream, &p.beside.handler}}
+	}{{snapshot.LocalUpstream, &p.local.handler}, {snapshot.BesideUpstream, &p.beside.handler}}
 	service := mesh.Service(call.Head.GetService())
 	view := rollouts.Views[service]
 	if release == view.Status.Target && view.RoleOf(release) == shift.Barred && !snapshot.LastResort[service] {
-		return &p.beside.none
+		return &p.noUpstream
 	}
 	for _, u := range upstreams {
 		if u.Instance != "" && u.Release == release {
@@ -139,7 +136,7 @@
 			return u.handler
 		}
 	}
-	return &p.beside.none
+	return &p.noUpstream
 }
 
 // collectOutcomes passes the outcomes that the traffic threads counted to the control
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -288,7 +289,7 @@
 		h.lengths.record(state.call.Head.GetRoute(), response.ContentLength)
 	}
 	if state.claims == nil && h.shouldBuffer(response.ContentLength) {
-		body := h.bodyMemory().Hold()
+		body := cmp.Or(h.Memory, &h.ownMemory).Hold()
 		defer body.Release()
 		if body.Reserve(response.ContentLength) == nil {
 			return gate.Result{Failed: !h.sendLargeResponse(ctx, response, state)}
--- a/internal/serve/large.go
+++ b/internal/serve/large.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/egress"
-	"arbutusstep.example/arbutusstep/internal/quota"
 )
 
 const (
@@ -80,13 +79,6 @@
 	return h.Link != nil && length > egress.LargeMessageBytes && length <= maxBufferedResponse
 }
 
-func (h *Handler) bodyMemory() *quota.Memory {
-	if h.Memory == nil {
-		return &h.ownMemory
-	}
-	return h.Memory
-}
-
 // sendLargeResponse reads a large response completely, which frees the slot of the
 // upstream, and sends it when the network link has capacity. It reports whether
 // the response of the upstream was complete.
