Send the targets of requests to upstreams byte for byte

Cause: the target went through a URL. The HTTP library puts the scheme before an opaque part that begins with two slashes, and a target that does not parse counted as an upstream that cannot be reached.

Change: a URL is made that is written as the target, which is compared before anything is sent. What cannot be sent unchanged is refused as not run (bad-target), without another attempt and at no cost to the upstream; the front end answers 400 to targets with spaces or control characters.

--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -149,6 +149,8 @@
 	}{
 		{name: "no request line", raw: "hello\r\n\r\n", want: http.StatusBadRequest},
 		{name: "no host", raw: "GET / HTTP/1.1\r\n\r\n", want: http.StatusBadRequest},
+		{name: "control character in the target", raw: "GET /a\x0bb HTTP/1.1\r\nHost: a\r\n\r\n", want: http.StatusBadRequest},
+		{name: "space in the target", raw: "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n", want: http.StatusBadRequest},
 		{name: "absolute target", raw: "GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", want: http.StatusBadRequest},
 		{name: "header section too large", raw: "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 500) + "\r\n\r\n", want: http.StatusRequestHeaderFieldsTooLarge},
 		{name: "body too large", raw: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\nhello world", want: http.StatusRequestEntityTooLarge},
--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -315,7 +315,7 @@
 
 // handleNotSent rejects a call of which no byte was sent to the upstream.
 func (h *Handler) handleNotSent(ctx context.Context, state *callState, err error) (result gate.Result) {
-	result = gate.Result{NotRun: true, Failed: !errors.Is(err, errRequestBody) && !errors.Is(err, errClaimExpired)}
+	result = gate.Result{NotRun: true, Failed: !errors.Is(err, errRequestBody) && !errors.Is(err, errClaimExpired) && !errors.Is(err, errTarget)}
 	if result.Failed && ctx.Err() == nil {
 		h.notifyUnreachable()
 	}
@@ -325,6 +325,8 @@
 		reason = peer.ReasonRequestBody
 	case errors.Is(err, errClaimExpired):
 		reason = ReasonClaimExpired
+	case errors.Is(err, errTarget):
+		reason = ReasonTarget
 	}
 	h.rejectNotRun(state, reason, 0)
 	return result
--- a/internal/serve/reason.go
+++ b/internal/serve/reason.go
@@ -26,6 +26,8 @@
 	ReasonInDoubt = "in-doubt"
 	// ReasonBadCall means that the call has an invalid priority.
 	ReasonBadCall = "bad-call"
+	// ReasonTarget means that the request cannot be sent with the target of its caller.
+	ReasonTarget = "bad-target"
 	// ReasonClaimExpired means that the claim expired before the call was sent.
 	ReasonClaimExpired = "claim-expired"
 	// ReasonLeaving means that the upstream is draining or was replaced.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -141,7 +141,7 @@
 		{name: "no upstream", run: echoHandler, outcome: peer.NotRun, reason: ReasonNoUpstream, prepare: func(h *Handler, _ *wire.CallHead) { h.SetUpstream(netip.AddrPort{}, 0) }},
 		{name: "connection refused", run: echoHandler, outcome: peer.NotRun, reason: ReasonUnreachable, prepare: func(h *Handler, _ *wire.CallHead) { h.SetUpstream(refusedAddress, 4) }},
 		{name: "invalid priority", run: echoHandler, outcome: peer.NotRun, reason: ReasonBadCall, prepare: func(_ *Handler, head *wire.CallHead) { head.Priority = mesh.NumPriorities }},
-		{name: "invalid path", run: echoHandler, outcome: peer.NotRun, reason: ReasonUnreachable, prepare: func(_ *Handler, head *wire.CallHead) { head.Path = "\x00" }},
+		{name: "invalid path", run: echoHandler, outcome: peer.NotRun, reason: ReasonTarget, prepare: func(_ *Handler, head *wire.CallHead) { head.Path = "\x00" }},
 		{name: "gate is draining", run: echoHandler, outcome: peer.NotRun, reason: "gate-" + gate.Draining.String(), after: draining.RetryAfter, prepare: func(h *Handler, _ *wire.CallHead) { h.Gate = drained }},
 		{name: "upstream reports not run", run: notRunHandler, outcome: peer.NotRun, reason: ReasonRefused, after: 2 * time.Second},
 		{name: "connection closed before the response", run: abortHandler, outcome: peer.Unknown, reason: ReasonLost},
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -226,11 +225,10 @@
 // request builds the request without its body.
 func (u *upstream) request(ctx context.Context, call *peer.Call) (request *http.Request, err error) {
 	head := call.Head
-	if _, err = url.ParseRequestURI(head.GetPath()); err != nil {
+	target, err := newTargetURL(u.pool.address, head.GetPath())
+	if err != nil {
 		return nil, err
 	}
-	// An opaque URL is sent without changes.
-	target := &url.URL{Scheme: "http", Host: u.pool.address, Opaque: head.GetPath()}
 	request = &http.Request{
 		Method:        head.GetMethod(),
 		URL:           target,
--- a/internal/steer/attempts.go
+++ b/internal/steer/attempts.go
@@ -149,7 +149,7 @@
 		}
 		rs.sawSilence = true
 	}
-	if ctx.Err() != nil || len(rs.tried) >= maxAttemptedHosts {
+	if ctx.Err() != nil || len(rs.tried) >= maxAttemptedHosts || callErr.Reason == serve.ReasonTarget {
 		return false
 	}
 	if callErr.Outcome == peer.Unknown && !rs.rule.Kind.IsIdempotent() {
