Use a new address of the platform and name settings that wait for a restart

Cause: a change of the file applied three settings and passed over the rest, and the client of the store was bound to its first address.

Change: settings with the tag reload take effect at run time, among them the address of the store, which ends calls that only read. The others are named in the log (settingsNeedRestart) and the status (needsRestart).

TestNestedCallsAreRaisedByTheCallersProxy passed settings without an address of the platform, which were ignored; it names the address now, and its assertions are the same.

--- a/internal/conf/proxy.go
+++ b/internal/conf/proxy.go
@@ -7,7 +7,8 @@
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 )
 
-// Proxy holds the settings of one proxy.
+// Proxy holds the settings of one proxy. Fields with the tag reload take effect when the
+// settings file changes, the others when the proxy is started again.
 type Proxy struct {
 	// Host names the upstream host; unique in the mesh.
 	Host mesh.HostID `yaml:"host" validate:"name"`
@@ -15,17 +16,17 @@
 	Region mesh.Region `yaml:"region" validate:"name"`
 	Zone   mesh.Zone   `yaml:"zone" validate:"name"`
 	// Service is the service of the local upstream; empty if there is none.
-	Service mesh.Service `yaml:"service"`
+	Service mesh.Service `yaml:"service" reload:"true"`
 	// Listen holds the addresses of the proxy.
 	Listen ProxyListen `yaml:"listen"`
 	// Platform is the address of the platform's object store.
-	Platform netip.AddrPort `yaml:"platform" validate:"address"`
+	Platform netip.AddrPort `yaml:"platform" validate:"address" reload:"true"`
 	// Heartbeat is the usual interval between the messages of the local upstream.
 	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=50ms,max=1m"`
 	// Stop bounds a graceful shutdown; calls still in progress then are cut off.
-	Stop time.Duration `yaml:"stop" validate:"min=500ms,max=10m"`
+	Stop time.Duration `yaml:"stop" validate:"min=500ms,max=10m" reload:"true"`
 	// RetryLimit limits the requests that are retried at a second upstream.
-	RetryLimit RetryLimit `yaml:"repeats"`
+	RetryLimit RetryLimit `yaml:"repeats" reload:"true"`
 	// Revocation is the time after the acceptance of a version without a key from which no
 	// request with the key may run that a caller sent later; zero means no limit.
 	Revocation time.Duration `yaml:"revocation" validate:"min=0,max=10m"`
--- a/internal/proxy/nested_test.go
+++ b/internal/proxy/nested_test.go
@@ -39,7 +39,7 @@
 func TestNestedCallsAreRaisedByTheCallersProxy(t *testing.T) {
 	m := newMesh(t, "orders", "prints")
 	settings := conf.DefaultProxy()
-	settings.Service = "orders"
+	settings.Service, settings.Platform = "orders", m.objects.Addr()
 	m.proxies[0].proxy.ApplySettings(settings)
 	document := `{"version":"r2","listeners":[{"host":"a.example","rule_set":[` +
 		`{"name":"course","kind":"safe","match":{"path_prefix":"/o/"},"action":{"service":"orders","timeout":"10s","max_attempts":1}},` +
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -106,6 +106,9 @@
 
 // Proxy is a running proxy. It is created by Start.
 type Proxy struct {
+	// pendingSettings are the keys of changed settings that need a restart; nil before the
+	// first change.
+	pendingSettings atomic.Pointer[[]string]
 	// settings is replaced by ApplySettings.
 	settings  atomic.Pointer[conf.Proxy]
 	platform  Platform
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -54,18 +54,21 @@
 	})
 }
 
-// ApplySettings replaces the settings that may change at run time: the service of this
-// host, the retry limits, and the duration of a stop.
+// ApplySettings replaces the settings that may change at run time. The others are logged and
+// shown in the status until the proxy is started with them.
 func (p *Proxy) ApplySettings(settings conf.Proxy) {
 	old := p.settings.Load()
-	next := *old
-	next.Service, next.RetryLimit, next.Stop = settings.Service, settings.RetryLimit, settings.Stop
+	next, pending := old.Reload(&settings)
+	if last := p.pendingSettings.Swap(&pending); len(pending) > 0 && (last == nil || !slices.Equal(*last, pending)) {
+		p.logger.Warn().Strs("settings", pending).Msg("settingsNeedRestart")
+	}
 	if next == *old {
 		return
 	}
 	p.settings.Store(&next)
 	p.router.Budget.Configure(retryLimit(&next))
-	p.logger.Info().Str("service", string(next.Service)).Dur("stop", next.Stop).Msg("settingsApplied")
+	p.store.SetAddress(next.Platform)
+	p.logger.Info().Str("service", string(next.Service)).Dur("stop", next.Stop).Stringer("platform", next.Platform).Msg("settingsApplied")
 }
 
 // Status is the state of a proxy as shown to operators.
@@ -88,6 +91,8 @@
 	Waiting           int          `json:"waiting"`
 	Slots             int          `json:"slots"`
 	Unanswered        int          `json:"unanswered"`
+	// PendingSettings are the keys of changed settings that need a restart.
+	PendingSettings []string `json:"needsRestart,omitempty"`
 }
 
 // Status returns the current state.
@@ -98,8 +103,12 @@
 	if beside.Instance != "" {
 		besideState = beside.State.String()
 	}
+	var pendingSettings []string
+	if pending := p.pendingSettings.Load(); pending != nil {
+		pendingSettings = *pending
+	}
 	return Status{
-		Beside: beside.Instance, BesideState: besideState,
+		PendingSettings: pendingSettings, Beside: beside.Instance, BesideState: besideState,
 		Host: p.settings.Load().Host, Phase: string(p.cells.Phase.Load()), Version: active.Plan.Version(), Since: active.Since,
 		Source: active.Source, Reason: active.RefusalReason, RefusedVersion: active.RefusedVersion, ReadsPlatform: p.cells.ReadsPlatform.Load(), PlatformReachable: p.cells.PlatformStatus.Load().Reachable,
 		Nodes: snapshot.NodeCount, Upstream: snapshot.LocalUpstream.Instance, State: snapshot.LocalUpstream.State.String(),
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -26,9 +27,10 @@
 		return err
 	}
 	c.calls.Add(1)
-	progress := newProgressTimer(ctx, timeout)
+	progress, target := newProgressTimer(ctx, timeout), c.endpoint.Load()
 	defer progress.stop()
-	response, err := c.send(progress.ctx, op)
+	defer target.endWhenLeft(op, progress)()
+	response, err := c.send(progress.ctx, op, target.address)
 	if err != nil {
 		return err
 	}
@@ -72,12 +74,12 @@
 }
 
 // send sends the request and returns the response with its body unread.
-func (c *Client) send(ctx context.Context, op operation) (response *http.Response, err error) {
+func (c *Client) send(ctx context.Context, op operation, address netip.AddrPort) (response *http.Response, err error) {
 	// connected is set once the request has a connection: from then on, part of
 	// the request may have been sent.
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	target := url.URL{Scheme: "http", Host: c.options.Address.String(), Path: op.Path, RawQuery: op.Query.Encode()}
+	target := url.URL{Scheme: "http", Host: address.String(), Path: op.Path, RawQuery: op.Query.Encode()}
 	httpRequest, err := http.NewRequestWithContext(
 		httptrace.WithClientTrace(ctx, trace), op.Method, target.String(), bytes.NewReader(op.Body))
 	if err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -71,7 +71,7 @@
 
 // Options configures a Client.
 type Options struct {
-	// Address is the address of the object API.
+	// Address is the address of the object API until SetAddress.
 	Address netip.AddrPort
 	// Host identifies the calling host to the platform, in the User-Agent header.
 	Host mesh.HostID
@@ -98,7 +98,9 @@
 	// options has its defaults applied.
 	options   Options
 	transport *http.Transport
-	calls     atomic.Uint64
+	// endpoint is the address in use.
+	endpoint atomic.Pointer[endpoint]
+	calls    atomic.Uint64
 	// era is the highest era that a response had.
 	era atomic.Uint64
 }
@@ -123,16 +125,22 @@
 	if options.Codec == nil {
 		options.Codec = KeyValueCodec{}
 	}
-	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return options.Dialer.Dial(ctx, options.Address)
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return options.Dialer.Dial(ctx, parsed)
 	}
-	return &Client{
+	c := &Client{
 		options: options,
 		transport: &http.Transport{
 			DialContext: dial, MaxIdleConns: 4, MaxIdleConnsPerHost: 4,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
 		},
 	}
+	c.endpoint.Store(newEndpoint(options.Address))
+	return c
 }
 
 // Calls returns the number of requests started since New. A watch counts as
