Keep an upstream whose limit of connections changes

Cause: the call that waits gets an error before its first byte, which counted as an upstream that cannot be reached.

Change: it is refused as not run because the upstream was replaced, and the upstream stays as it is.

--- a/internal/serve/handler.go
+++ b/internal/serve/handler.go
@@ -315,18 +315,22 @@
 
 // handleNotSent rejects a call of which no byte was sent to the upstream.
 func (h *Handler) handleNotSent(ctx context.Context, state *callState, err error) (result gate.Result) {
-	result = gate.Result{NotRun: true, Failed: !errors.Is(err, errRequestBody) && !errors.Is(err, errClaimExpired) && !errors.Is(err, errTarget)}
-	if result.Failed && ctx.Err() == nil {
-		h.notifyUnreachable()
-	}
+	result = gate.Result{NotRun: true}
 	reason := ReasonUnreachable
 	switch {
+	case errors.Is(err, errUpstreamReplaced):
+		reason = ReasonLeaving
 	case errors.Is(err, errRequestBody):
 		reason = peer.ReasonRequestBody
 	case errors.Is(err, errClaimExpired):
 		reason = ReasonClaimExpired
 	case errors.Is(err, errTarget):
 		reason = ReasonTarget
+	default:
+		result.Failed = true
+	}
+	if result.Failed && ctx.Err() == nil {
+		h.notifyUnreachable()
 	}
 	h.rejectNotRun(state, reason, 0)
 	return result
