--- a/pkg/shift/fleet_test.go
+++ b/pkg/shift/fleet_test.go
@@ -46,6 +46,8 @@
 	after       time.Duration
 	underLoad   bool
 	oneRoute    bool
+	// share is the fraction of the requests that the fault meets; zero means all.
+	share float64
 }
 
 func (f fault) applies(up *upstream, now time.Time, route string) bool {
@@ -246,7 +248,7 @@
 		}
 		s.lastSent = s.now
 	}
-	bad := isNew && s.fault.applies(u, s.now, route)
+	bad := isNew && s.fault.applies(u, s.now, route) && (s.fault.share == 0 || s.random.Float64() < s.fault.share)
 	duration := float64(serviceTime) * u.speed * math.Exp(serviceSpread*s.random.NormFloat64())
 	if s.now.Sub(u.startedAt) < coldTime {
 		duration *= coldFactor
--- a/pkg/shift/shift_test.go
+++ b/pkg/shift/shift_test.go
@@ -212,3 +212,41 @@
 		})
 	}
 }
+
+// TestPartlySlowVersionsAreJudged guards against a version that is completed although a part of
+// its requests take several times as long, with and without a restart of all proxies during
+// the trial, after which the quick responses are known first.
+func TestPartlySlowVersionsAreJudged(t *testing.T) {
+	tests := []struct {
+		name      string
+		duration  time.Duration
+		share     float64
+		restartAt time.Duration
+	}{
+		{name: "more than half", duration: 16 * time.Second, share: 0.58},
+		{name: "more than half, restart", duration: 16 * time.Second, share: 0.58, restartAt: 6 * time.Second},
+		{name: "a third", duration: 12 * time.Second, share: 0.3},
+		{name: "a third, long trial", duration: 16 * time.Second, share: 0.3},
+		{name: "a third, restart", duration: 16 * time.Second, share: 0.3, restartAt: 6 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(seedCount) {
+				s := newSimulation(seed, tt.duration, usualSpread, fault{slow: true, share: tt.share})
+				if tt.restartAt > 0 {
+					s.after(tt.restartAt, func() {
+						s.restart()
+						s.storeDown = true
+					})
+					s.after(tt.restartAt+time.Second, func() {
+						s.storeDown = false
+						s.notify()
+					})
+				}
+				s.run(tt.duration + 3*time.Second)
+				assert.Check(t, len(s.finals) == 1 && s.finals[0] == shift.RolledBack, "seed %d ended as %v", seed, s.finals)
+				checkBad(t, s)
+			}
+		})
+	}
+}
