--- a/pkg/shift/agent.go
+++ b/pkg/shift/agent.go
@@ -29,10 +29,10 @@
 	stopped bool
 }
 
-// Learn takes a view that a root confirmed at the given time. changed is true if it differs from what was
-// in force. A view with a lower term is older and is ignored, and so is one of an order that has
-// ended. A halted trial stays halted
-// until another order or the status says otherwise.
+// Learn takes a view that was confirmed at the given time. changed is true if it differs from
+// what was in force. A view with a lower term is older and is ignored, unless it ends the
+// order, and so is one of an order that has ended. A halted trial stays halted until another
+// order or the status says otherwise.
 func (a *Agent) Learn(confirmedAt time.Time, view View) (changed bool) {
 	e := a.entries[view.Service]
 	if e == nil {
