Judge a version by requests that were given the time of a slow one

Cause: responses counted whatever the time in which they came, and the first ones are those of quick requests. With one instance on trial, slow requests fill its slots; on a fast host they are not late.

Change: proxies report the requests that they sent and that ended. Only those that were given the time of a slow one count, and those of them without an outcome count as late. Service times that vary three times as much as in the old version, within a rule, make a version bad.

--- a/internal/ctrl/rollout_test.go
+++ b/internal/ctrl/rollout_test.go
@@ -101,7 +101,10 @@
 		s.served++
 		release := candidates[s.random.IntN(len(candidates))].Release
 		s.sent[release]++
-		counts.Record(shift.Key{Release: release, Route: "r"}, shift.Outcome{Failed: release == "v2" && s.random.Float64() < s.failing, ServiceTime: 100 * time.Millisecond})
+		key := shift.Key{Release: release, Route: "r"}
+		counts.RecordStart(key)
+		counts.RecordEnd(key, false)
+		counts.Record(key, shift.Outcome{Failed: release == "v2" && s.random.Float64() < s.failing, ServiceTime: 100 * time.Millisecond})
 	}
 	p.cells.Outcomes.Post(cells.OutcomeCounts{"orders": counts})
 }
--- a/internal/steer/rollout.go
+++ b/internal/steer/rollout.go
@@ -86,6 +86,7 @@
 		return nil
 	}
 	o := &attemptObserver{tally: &r.Outcomes, rs: rs, key: shift.Key{Release: candidate.Release, Route: rs.rule.Name}}
+	o.tally.update(rs, func(counts shift.Counts) { counts.RecordStart(o.key) })
 	if typical := r.Picker.TypicalServiceTime(rs.rule.Name); typical > 0 {
 		// The last part is the time for which the call may wait in a trial.
 		o.late = time.AfterFunc(shift.LateFactor*typical+lateAllowance+typical, o.recordLate)
@@ -116,6 +117,7 @@
 	}
 	counted := o.late != nil && !o.late.Stop()
 	var outcome shift.Outcome
+	isRefused, isLate := false, false
 	switch {
 	case callErr == nil:
 		outcome.Failed = reply.Head.GetStatus() >= http.StatusInternalServerError
@@ -123,16 +125,22 @@
 	case callErr.Reason == serve.ReasonRefused || callErr.Reason == serve.ReasonFailing:
 		outcome.Failed = true
 	case callErr.Outcome == peer.NotRun || errors.Is(ctx.Err(), context.Canceled):
-		return
+		isRefused = true
 	case callErr.Reason == peer.ReasonDeadline || ctx.Err() != nil:
-		if !counted {
-			o.recordLate()
-		}
-		return
+		isLate = true
 	case isNodeFailure(callErr.Reason):
-		return
+		isRefused = true
 	default:
 		outcome.Failed = true
 	}
-	o.tally.update(o.rs, func(counts shift.Counts) { counts.Record(o.key, outcome) })
+	o.tally.update(o.rs, func(counts shift.Counts) {
+		counts.RecordEnd(o.key, isRefused)
+		switch {
+		case isRefused:
+		case !isLate:
+			counts.Record(o.key, outcome)
+		case !counted:
+			counts.RecordLate(o.key)
+		}
+	})
 }
--- a/internal/steer/rollout_test.go
+++ b/internal/steer/rollout_test.go
@@ -70,20 +70,21 @@
 // that are counted although the release had no part in them.
 func TestOutcomesOfTrialsAreCounted(t *testing.T) {
 	ok := callResult{status: 200, serviceTime: time.Millisecond}
+	refused := shift.Count{Started: 1, Ended: 1, Refused: 1}
 	tests := []struct {
 		name   string
 		first  callResult
 		want   shift.Count
 		status int
 	}{
-		{name: "error response, retried at the old release", first: callResult{status: 500}, want: shift.Count{Responses: 1, Failures: 1}, status: 200},
-		{name: "no response of the upstream", first: unknown(serve.ReasonLost), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
-		{name: "response cut off", first: unknown(peer.ReasonTruncated), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
-		{name: "no response of the host", first: unknown(peer.ReasonSessionLost), status: 200},
-		{name: "refused by the upstream", first: notRun(serve.ReasonRefused), want: shift.Count{Responses: 1, Failures: 1}, status: 200},
-		{name: "full", first: notRun("gate-late"), status: 200},
-		{name: "host unreachable", first: notRun(peer.ReasonDialFailed), status: 200},
-		{name: "no response until the deadline", first: callResult{hangs: true}, want: shift.Count{Late: 1}, status: 504},
+		{name: "error response, retried at the old release", first: callResult{status: 500}, want: shift.Count{Responses: 1, Failures: 1, Started: 1, Ended: 1}, status: 200},
+		{name: "no response of the upstream", first: unknown(serve.ReasonLost), want: shift.Count{Responses: 1, Failures: 1, Started: 1, Ended: 1}, status: 200},
+		{name: "response cut off", first: unknown(peer.ReasonTruncated), want: shift.Count{Responses: 1, Failures: 1, Started: 1, Ended: 1}, status: 200},
+		{name: "no response of the host", first: unknown(peer.ReasonSessionLost), want: refused, status: 200},
+		{name: "refused by the upstream", first: notRun(serve.ReasonRefused), want: shift.Count{Responses: 1, Failures: 1, Started: 1, Ended: 1}, status: 200},
+		{name: "full", first: notRun("gate-late"), want: refused, status: 200},
+		{name: "host unreachable", first: notRun(peer.ReasonDialFailed), want: refused, status: 200},
+		{name: "no response until the deadline", first: callResult{hangs: true}, want: shift.Count{Late: 1, Started: 1, Ended: 1}, status: 504},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/wire/shift.go
+++ b/internal/wire/shift.go
@@ -72,6 +72,7 @@
 			message.Counts = append(message.Counts, &ShiftCount{
 				Service: string(service), Release: string(key.Release), Route: key.Route, Responses: c.Responses, Failures: c.Failures,
 				Timed: c.Timed, LogSum: c.LogSum, LogSquares: c.LogSquares, Late: c.Late,
+				Started: c.Started, Ended: c.Ended, Refused: c.Refused,
 			})
 		}
 	}
@@ -82,7 +83,8 @@
 	m := ctlmsg.ShiftCounts{Counts: make(map[mesh.Service]shift.Counts)}
 	for _, c := range s.GetCounts() {
 		service := mesh.Service(c.GetService())
-		valid := c.GetFailures() <= c.GetResponses() && c.GetTimed() <= c.GetResponses() && c.GetResponses() <= maxShiftCount && c.GetLate() <= maxShiftCount
+		valid := c.GetFailures() <= c.GetResponses() && c.GetTimed() <= c.GetResponses() && c.GetRefused() <= c.GetEnded() &&
+			max(c.GetResponses(), c.GetLate(), c.GetStarted(), c.GetEnded()) <= maxShiftCount
 		if !valid || !isSum(c.GetLogSum()) || !isSum(c.GetLogSquares()) {
 			return nil, fmt.Errorf("counts of service %q, route %q are out of range", c.GetService(), c.GetRoute())
 		}
@@ -91,6 +93,7 @@
 		}
 		m.Counts[service].Add(shift.Counts{{Release: mesh.Release(c.GetRelease()), Route: c.GetRoute()}: {
 			Responses: c.GetResponses(), Failures: c.GetFailures(), Timed: c.GetTimed(), LogSum: c.GetLogSum(), LogSquares: c.GetLogSquares(), Late: c.GetLate(),
+			Started: c.GetStarted(), Ended: c.GetEnded(), Refused: c.GetRefused(),
 		}})
 	}
 	return m, nil
--- a/internal/wire/shift_test.go
+++ b/internal/wire/shift_test.go
@@ -24,7 +24,7 @@
 			Canaries: []string{"i-1"}, Excluded: []mesh.Release{"", "v0"},
 		}}}}},
 		{name: "counts", message: ctlmsg.ShiftCounts{Counts: map[mesh.Service]shift.Counts{"orders": {
-			{Release: "v2", Route: "a"}: {Responses: 9, Failures: 2, Timed: 8, LogSum: 33.5, LogSquares: 150, Late: 1},
+			{Release: "v2", Route: "a"}: {Responses: 9, Failures: 2, Timed: 8, LogSum: 33.5, LogSquares: 150, Late: 1, Started: 14, Ended: 12, Refused: 3},
 			{Release: "", Route: "a"}:   {Responses: 1},
 		}}}},
 		{name: "roster", message: ctlmsg.Roster{Revision: 4, HasRollouts: true, Entries: []ctlmsg.RosterEntry{}}},
@@ -61,6 +61,7 @@
 		{name: "share that is no number", control: view(&ShiftView{Service: "s", Share: math.NaN()})},
 		{name: "route share below 0", control: view(&ShiftView{Service: "s", Shares: []*ShiftShare{{Route: "a", Share: -0.1}}})},
 		{name: "more failures than responses", control: count(&ShiftCount{Service: "s", Responses: 1, Failures: 2})},
+		{name: "more refused than ended", control: count(&ShiftCount{Service: "s", Ended: 1, Refused: 2})},
 		{name: "sum that is no number", control: count(&ShiftCount{Service: "s", Responses: 1, LogSum: math.NaN()})},
 		{name: "infinite sum", control: count(&ShiftCount{Service: "s", Responses: 1, LogSquares: math.Inf(1)})},
 		{name: "count beyond any traffic", control: count(&ShiftCount{Service: "s", Responses: math.MaxUint64})},
--- a/pkg/shift/bench_test.go
+++ b/pkg/shift/bench_test.go
@@ -20,6 +20,8 @@
 		if trial.Takes(now, route, float64(i%100)/100) {
 			key.Release = "v2"
 		}
+		counts.RecordStart(key)
+		counts.RecordEnd(key, false)
 		counts.Record(key, shift.Outcome{ServiceTime: 20 * time.Millisecond})
 	}
 }
--- a/pkg/shift/count.go
+++ b/pkg/shift/count.go
@@ -26,6 +26,10 @@
 	// service time of their route. They are counted at that time, so that a slow release
 	// shows before it has answered.
 	Late uint64
+	// Started is the number of requests that were sent, and Ended the number of those whose
+	// outcome is known. Refused is the number of requests among Ended that say nothing about
+	// the release, because they did not run.
+	Started, Ended, Refused uint64
 }
 
 // LateFactor is the multiple of the usual service time of a route after which a request is
@@ -60,6 +64,23 @@
 	c[key] = entry
 }
 
+// RecordStart adds a request that is sent.
+func (c Counts) RecordStart(key Key) {
+	entry := c[key]
+	entry.Started++
+	c[key] = entry
+}
+
+// RecordEnd adds the end of a request. isRefused is true if it says nothing about the release.
+func (c Counts) RecordEnd(key Key, isRefused bool) {
+	entry := c[key]
+	entry.Ended++
+	if isRefused {
+		entry.Refused++
+	}
+	c[key] = entry
+}
+
 // RecordLate adds a request that is late. It is recorded again once its outcome is known.
 func (c Counts) RecordLate(key Key) {
 	entry := c[key]
@@ -79,6 +100,7 @@
 	return Count{
 		Responses: c.Responses + o.Responses, Failures: c.Failures + o.Failures, Timed: c.Timed + o.Timed,
 		LogSum: c.LogSum + o.LogSum, LogSquares: c.LogSquares + o.LogSquares, Late: c.Late + o.Late,
+		Started: c.Started + o.Started, Ended: c.Ended + o.Ended, Refused: c.Refused + o.Refused,
 	}
 }
 
--- a/pkg/shift/evidence.go
+++ b/pkg/shift/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -29,8 +30,20 @@
 	slowDeviations = 4.0
 	// minLogVariance is the least assumed variance of the logarithm of service times.
 	minLogVariance = 0.1
+	// spreadRatio is the ratio of the variances of the logarithm of service times, each within
+	// its routes, above which a part of the requests is slow. The speed of a host does not
+	// change its variance. spreadDeviations is the number of standard errors by which the
+	// logarithm of the ratio must be above zero, and spreadKurtosis the assumed kurtosis less
+	// one, which the standard error depends on.
+	spreadRatio      = 3.0
+	spreadDeviations = 4.0
+	spreadKurtosis   = 5.0
 	// minRouteResponses is the number of responses on a route that count as evidence.
 	minRouteResponses = 8
+	// reportDelay is the time after which the counts of all proxies have arrived.
+	reportDelay = 750 * time.Millisecond
+	// maxMaturity limits the time after which a request counts as evidence.
+	maxMaturity = 10 * time.Second
 )
 
 // windows are the spans over which the outcomes are tested. A fault that begins late
@@ -57,7 +70,7 @@
 	}
 	if n := len(e.slices); n == 0 || now.Sub(e.slices[n-1].from) >= sliceTime {
 		e.slices = append(e.slices, slice{from: now, counts: make(Counts)})
-		e.slices = slices.DeleteFunc(e.slices, func(s slice) bool { return now.Sub(s.from) > slices.Max(windows)+sliceTime })
+		e.slices = slices.DeleteFunc(e.slices, func(s slice) bool { return now.Sub(s.from) > maxMaturity+sliceTime })
 	}
 	if e.total == nil {
 		e.total = make(Counts)
@@ -70,7 +83,7 @@
 // that.
 func (e *Evidence) Judge(now time.Time, target mesh.Release) (reason string) {
 	for _, w := range windows {
-		sum := e.total
+		sum := e.withOverdue(now, target)
 		if w > 0 {
 			sum = make(Counts)
 			for _, s := range e.slices {
@@ -86,6 +99,50 @@
 	return ""
 }
 
+// maturity returns the time after which a request on a route would be late, and all proxies
+// have told of it.
+func maturity(c Comparison) time.Duration {
+	usual := c.Others
+	if usual.Timed == 0 {
+		usual = c.Target
+	}
+	mean, _ := usual.meanLog()
+	return min(maxMaturity, time.Duration(LateFactor*math.Exp(mean)*float64(time.Millisecond))+reportDelay)
+}
+
+// Matured returns, for each route, the number of requests that ran at the target and were
+// given the time that a slow one takes. The first responses are always those of quick requests.
+func (e *Evidence) Matured(now time.Time, target mesh.Release) (matured map[string]uint64) {
+	matured = make(map[string]uint64)
+	for route, c := range e.ByRoute(target) {
+		key, recent := Key{Release: target, Route: route}, Count{}
+		for _, s := range e.slices {
+			if now.Sub(s.from) < maturity(c) {
+				recent = recent.plus(s.counts[key])
+			}
+		}
+		started := c.Target.Started - recent.Started
+		matured[route] = started - min(started, c.Target.Refused)
+	}
+	return matured
+}
+
+// withOverdue returns the total counts, in which each request to the target that has matured
+// without an outcome counts as late. A proxy that started with the trial does not know yet
+// which requests are late.
+func (e *Evidence) withOverdue(now time.Time, target mesh.Release) Counts {
+	counts := maps.Clone(e.total)
+	for route, matured := range e.Matured(now, target) {
+		key := Key{Release: target, Route: route}
+		c := counts[key]
+		if ended := c.Ended - c.Refused; matured > ended {
+			c.Late = max(c.Late, matured-ended)
+			counts[key] = c
+		}
+	}
+	return counts
+}
+
 // Comparison holds the counts of one route: those of the target and of the others.
 type Comparison struct {
 	Target, Others Count
@@ -179,6 +236,9 @@
 	// variances.
 	timed, others        uint64
 	difference, variance float64
+	// spread is the weighted sum of the variances of the target, and usualSpread the one that
+	// the others have.
+	spread, usualSpread float64
 }
 
 func (p *pooled) add(r Comparison) {
@@ -190,9 +250,11 @@
 	if r.Target.Timed == 0 || r.Others.Timed < minTimed {
 		return
 	}
-	target, _ := r.Target.meanLog()
+	target, spread := r.Target.meanLog()
 	others, variance := r.Others.meanLog()
 	n := float64(r.Target.Timed)
+	p.spread += n * spread
+	p.usualSpread += n * max(variance, minLogVariance)
 	p.timed += r.Target.Timed
 	p.others += r.Others.Timed
 	p.difference += n * (target - others)
@@ -213,5 +275,13 @@
 	if ratio, slow := isSlow(p.difference/n, p.variance/n, n, float64(p.others)); slow {
 		return fmt.Sprintf("all routes: %d responses %.1f times slower", p.timed, ratio)
 	}
+	if ratio := p.spread / p.usualSpread; isSpread(ratio, n) {
+		return fmt.Sprintf("all routes: service times of %d responses vary %.1f times as much", p.timed, ratio)
+	}
 	return ""
 }
+
+// isSpread tests the ratio of two variances, the first one of n values.
+func isSpread(ratio, n float64) bool {
+	return ratio >= spreadRatio && math.Log(ratio) >= spreadDeviations*math.Sqrt(spreadKurtosis/n)
+}
--- a/pkg/shift/fleet_test.go
+++ b/pkg/shift/fleet_test.go
@@ -258,6 +258,9 @@
 	}
 	u.busy++
 	key := shift.Key{Release: u.release, Route: route}
+	if p.agent.Running() {
+		p.own.RecordStart(key)
+	}
 	outcome := shift.Outcome{ServiceTime: min(time.Duration(duration), requestTimeout), Failed: s.random.Float64() < ambientFailure}
 	if bad && s.fault.fails && s.random.Float64() < 0.5 {
 		outcome.Failed = true
@@ -273,6 +276,7 @@
 func (s *simulation) respond(p *proxy, key shift.Key, outcome shift.Outcome, bad bool) {
 	if p.agent.Running() {
 		p.own.Record(key, outcome)
+		p.own.RecordEnd(key, false)
 	}
 	if bad {
 		s.badResponses++
--- a/pkg/shift/presence_test.go
+++ b/pkg/shift/presence_test.go
@@ -55,7 +55,9 @@
 // TestOrderIsRolledBackOnlyToRunningUpstreams guards against a rollback at the time limit
 // that leaves the service without upstreams.
 func TestOrderIsRolledBackOnlyToRunningUpstreams(t *testing.T) {
-	failures := shift.Counts{{Release: "v2", Route: "r"}: {Responses: 20, Failures: 20}}
+	key := shift.Key{Release: "v2", Route: "r"}
+	failures := shift.Counts{key: {Responses: 20, Failures: 20, Started: 20, Ended: 20}}
+	responses := shift.Counts{key: {Responses: 30, Started: 30, Ended: 30}}
 	tests := []struct {
 		name   string
 		others shift.Upstreams
@@ -66,7 +68,7 @@
 		{name: "some run", others: shift.Upstreams{Count: 4, Slots: 40, Outdated: 3}, want: shift.RolledBack},
 		{name: "others known from before the restoration only", others: shift.Upstreams{Count: 4, Slots: 40, Outdated: 4}, want: shift.Running},
 		{name: "no others", want: shift.Running},
-		{name: "no others, target proven", counts: shift.Counts{{Release: "v2", Route: "r"}: {Responses: 30}}, want: shift.Completed},
+		{name: "no others, target proven", counts: responses, want: shift.Completed},
 		{name: "no others, target bad", counts: failures, want: shift.RolledBack},
 		{name: "others known from before, target bad", others: shift.Upstreams{Count: 4, Slots: 40, Outdated: 4}, counts: failures, want: shift.RolledBack},
 	}
@@ -74,10 +76,10 @@
 		t.Run(tt.name, func(t *testing.T) {
 			now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 			d := shift.Director{Host: "root0"}
-			status := shift.Status{Phase: shift.Running, Target: "v2", Holder: "root0", Term: 9, Since: 3, Elapsed: 11 * time.Second, Share: 0.07, Canaries: []string{"new0"}}
+			status := shift.Status{Phase: shift.Running, Target: "v2", Holder: "root0", Term: 9, Since: 3, Elapsed: 9 * time.Second, Share: 0.07, Canaries: []string{"new0"}}
 			d.Learn(now, shift.Object{Order: shift.Order{Service: service, Target: "v2", Duration: 12 * time.Second}, Status: status, Revision: 10})
-			now = now.Add(time.Second)
-			d.Observe(now, tt.counts)
+			d.Observe(now.Add(time.Second), tt.counts)
+			now = now.Add(3 * time.Second)
 			upstreams := tt.others
 			upstreams.Targets = []shift.Instance{{ID: "new0", Slots: 40, SeenAt: now.Add(-time.Minute)}}
 			next, write := d.Next(now, upstreams)
--- a/pkg/shift/progress.go
+++ b/pkg/shift/progress.go
@@ -176,10 +176,11 @@
 	if float64(slots) < required*float64(upstreams.Slots) {
 		return false
 	}
-	responses := uint64(0)
-	for _, r := range d.evidence.ByRoute(d.object.Order.Target) {
-		responses += r.Target.Responses
-		if !late && r.Others.Responses >= minRouteResponses && r.Target.Responses < minRouteResponses {
+	responses, matured := uint64(0), d.evidence.Matured(now, d.object.Order.Target)
+	for route, r := range d.evidence.ByRoute(d.object.Order.Target) {
+		known := min(r.Target.Responses, matured[route])
+		responses += known
+		if !late && r.Others.Responses >= minRouteResponses && known < minRouteResponses {
 			return false
 		}
 	}
