Count a response as cut if its connection is reset during an upload

Callers got a part of a response as a complete one: an upstream answers a long upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is still being written.

Cause: the kernel returns the error of a reset once. If the goroutine that writes the request gets it, the read of the response returns io.EOF, which is how a body without a length ends.

Change: if such a body ends before the request is written, the connection is asked for the address of its other end, which only a reset takes away. Without it, the body ends with io.ErrUnexpectedEOF, so that the response is truncated as one with a length would be.

Responses whose connection ends in order, during an upload too, are complete as before.

--- a/internal/proxy/cuthead_test.go
+++ b/internal/proxy/cuthead_test.go
@@ -11,7 +11,6 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 )
 
 // cuttingUpstream answers requests whose path begins with /o/cut with the first bytes of a
@@ -73,18 +72,12 @@
 // empty body that a caller gets of an upstream which stopped in the middle of a head: at its
 // own proxy, and at one of another host.
 func TestResponseCutInItsHeadNeverReachesTheCaller(t *testing.T) {
-	document := strings.Replace(string(newDocument(1, "/o/", "orders")), `"kind":"safe"`, `"kind":"unsafe"`, 1)
-	m := newMeshWith(t, meshOptions{document: []byte(document)}, "orders", "prints")
+	m := newMeshWith(t, meshOptions{document: unsafeDocument()}, "orders", "prints")
 	near, far := m.proxies[0], m.proxies[1]
 	upstream := &cuttingUpstream{instance: near.instance}
 	near.replaceUpstream(t, "orders", upstream.serve)
 	for _, p := range []*testProxy{near, far} {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if status, body := p.send(t, "first", "/o/x"); status != http.StatusOK || body != "good" {
-				return poll.Continue("%d %s", status, body)
-			}
-			return poll.Success()
-		}, pollTimeout)
+		p.waitForUpstream(t)
 	}
 	forms := []struct{ name, response string }{
 		{name: "length", response: "HTTP/1.1 200 OK\r\nIDENTITYContent-Length: 0\r\n\r\n"},
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -224,10 +224,30 @@
 		`"clusters":[{"name":"orders","health_path":"/serves"},{"name":"prints","health_path":"/serves"}]}`, version, prefix, service)
 }
 
-// send sends a request to the proxy.
+// unsafeDocument returns a first version whose rule is for requests that are not idempotent.
+func unsafeDocument() []byte {
+	return bytes.Replace(newDocument(1, "/o/", "orders"), []byte(`"kind":"safe"`), []byte(`"kind":"unsafe"`), 1)
+}
+
+// waitForUpstream waits until the proxy reaches an upstream that answers with the body "good".
+func (p *testProxy) waitForUpstream(t *testing.T) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, body := p.send(t, "first", "/o/x"); status != http.StatusOK || body != "good" {
+			return poll.Continue("%d %s", status, body)
+		}
+		return poll.Success()
+	}, pollTimeout)
+}
+
+// send sends a request with a short body to the proxy.
 func (p *testProxy) send(t *testing.T, id, path string) (status int, body string) {
+	return p.sendBody(t, id, path, "hello")
+}
+
+// sendBody sends a request to the proxy.
+func (p *testProxy) sendBody(t *testing.T, id, path, requestBody string) (status int, body string) {
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
-		"http://"+p.proxy.Addresses().Callers.String()+path, strings.NewReader("hello"))
+		"http://"+p.proxy.Addresses().Callers.String()+path, strings.NewReader(requestBody))
 	assert.NilError(t, err)
 	request.Host = "a.example"
 	request.Header.Set("X-Request-Id", id)
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -137,6 +137,24 @@
 	return n, errors.Join(err, readErr)
 }
 
+// wasReset reports whether the connection was reset or closed. The error of a reset is
+// returned only once, by a read or by a write: if a write gets it, reads return the same
+// io.EOF as for a connection that the upstream has ended.
+func (c *conn) wasReset() bool {
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var peerErr error
+	// Only a reset takes the address of the other end away.
+	err = raw.Control(func(descriptor uintptr) { _, peerErr = syscall.Getpeername(int(descriptor)) })
+	return errors.Join(err, peerErr) != nil
+}
+
 // connPool is a pool of connections to one upstream.
 type connPool struct {
 	address string
@@ -279,13 +297,19 @@
 type responseBody struct {
 	io.ReadCloser
 	exchange *exchange
+	// untilClose is true if the body has no length and ends with the connection.
+	untilClose bool
 	// complete is true once the body was read completely.
 	complete bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. If the body ends with the connection while the request is being
+// sent, it is complete only if the connection was not reset.
 func (b *responseBody) Read(data []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(data)
+	if errors.Is(err, io.EOF) && b.untilClose && !b.exchange.requestSent() && b.exchange.conn.wasReset() {
+		err = io.ErrUnexpectedEOF
+	}
 	b.complete = b.complete || errors.Is(err, io.EOF)
 	return n, err
 }
--- a/internal/serve/response.go
+++ b/internal/serve/response.go
@@ -90,7 +90,7 @@
 
 // discardResponse reads a late response to another request completely.
 func discardResponse(response *http.Response) (err error) {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if endsWithConnection(response) {
 		return errors.New("late response without a length")
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBody+1))
@@ -99,3 +99,9 @@
 	}
 	return err
 }
+
+// endsWithConnection reports whether the body of a response has no length and ends with the
+// connection.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
--- a/internal/serve/upstream.go
+++ b/internal/serve/upstream.go
@@ -120,7 +120,8 @@
 	}
 	x.reusable = x.reusable && !httpResponse.Close
 	c.setKeepAlive(httpResponse.Header)
-	httpResponse.Body = &responseBody{ReadCloser: httpResponse.Body, exchange: x}
+	untilClose := endsWithConnection(httpResponse) && httpResponse.Body != http.NoBody
+	httpResponse.Body = &responseBody{ReadCloser: httpResponse.Body, exchange: x, untilClose: untilClose}
 	return upstreamResponse{Response: httpResponse, info: x.info}, true, nil
 }
 
