Refuse responses with a blank or a line feed in a field name

Callers got responses in whose head the name of a field holds a blank or a control byte, with that line passed on or with a body that was not the upstream's.

Cause: the HTTP library takes a name with a space as it is, a line that begins with a space or a tab as a part of the field before it, and a line feed at the start of a name as the end of the head. A damaged Content-Length or Transfer-Encoding then counts for nothing. It refuses other control bytes.

Change: each header section is scanned as it is received. A blank before the colon of a line, and a line feed alone where other lines end with a carriage return, end the exchange as any invalid response does. Continued lines are refused too, as RFC 9112 section 5.2 allows: they can't be told from names that begin with a blank.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -47,6 +47,8 @@
 	// readLimit is how many bytes may still be read. It limits the size of header
 	// sections.
 	readLimit int64
+	// scanner checks the header section that is being read.
+	scanner headScanner
 	// written is true if a byte of the current request may have been sent.
 	written bool
 	// received is true if a byte was received since the current request began.
@@ -96,12 +98,20 @@
 	}
 	n, err = c.Conn.Read(data[:min(int64(len(data)), c.readLimit)])
 	c.readLimit -= int64(n)
+	c.scanner.scan(data[:n])
 	if n > 0 {
 		c.received.Store(true)
 	}
 	return n, err
 }
 
+// beginScan begins to scan a header section, of which a part may have been received.
+func (c *conn) beginScan() {
+	c.scanner = headScanner{}
+	received, _ := c.reader.Peek(c.reader.Buffered())
+	c.scanner.scan(received)
+}
+
 // Write implements io.Writer.
 func (c *conn) Write(data []byte) (n int, err error) {
 	c.written = true
--- a/internal/serve/invalid_test.go
+++ b/internal/serve/invalid_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -104,36 +105,79 @@
 		{name: "bytes that are no response", invalid: "hi"},
 	}
 	for _, tt := range tests {
-		for _, f := range followers {
-			for _, kept := range []bool{false, true} {
-				name := tt.name + ", then " + f.name
+		testInvalidResponse(t, tt.name, tt.invalid)
+	}
+}
+
+// TestInvalidFieldNameEndsTheExchange guards against responses that are taken although a field
+// name holds a blank or a control byte: the line reaches the caller, as a field or as a part of
+// the one before it, or the body is not that of the upstream.
+func TestInvalidFieldNameEndsTheExchange(t *testing.T) {
+	const start, identity = "HTTP/1.1 200 OK\r\n", "Id: bad\r\nSignature: s\r\n"
+	bytes := []struct{ name, value string }{
+		{name: "space", value: " "},
+		{name: "tab", value: "\t"},
+		{name: "line feed", value: "\n"},
+		{name: "carriage return", value: "\r"},
+		{name: "NUL", value: "\x00"},
+		{name: "escape", value: "\x1b"},
+		{name: "unit separator", value: "\x1f"},
+		{name: "delete", value: "\x7f"},
+	}
+	positions := []struct{ name, response string }{
+		{name: "before the first name", response: start + "?Odd: 1\r\n" + identity + "Content-Length: 2\r\n\r\nhi"},
+		{name: "before a name", response: start + identity + "Content-Length: 2\r\n?Odd: 1\r\n\r\nhi"},
+		{name: "in a name", response: start + identity + "O?dd: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{name: "after a name", response: start + identity + "Odd?: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{name: "instead of a name", response: start + identity + "?: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{name: "before that of the length", response: start + identity + "?Content-Length: 2\r\n\r\nhi"},
+		{name: "in that of the length", response: start + identity + "Content?Length: 2\r\n\r\nhi"},
+		{name: "after that of the length", response: start + identity + "Content-Length?: 2\r\n\r\nhi"},
+		{name: "after that of the encoding", response: start + identity + "Transfer-Encoding?: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
+		{name: "in a failure", response: "HTTP/1.1 500 Failed\r\nO?dd: 1\r\nContent-Length: 2\r\n\r\nhi"},
+		{name: "in a refusal", response: "HTTP/1.1 503 Busy\r\nId: bad\r\nNot-Run: 1\r\nOdd?: 1\r\nContent-Length: 0\r\n\r\n"},
+		{name: "in an informational response", response: "HTTP/1.1 103 Early Hints\r\nLink?: x\r\n\r\n" + rawResponse("bad", "s", "true")},
+		{name: "in a response to another request", response: start + "Id: other\r\nSignature: s\r\nO?dd: 1\r\nContent-Length: 2\r\n\r\nhi" + rawResponse("bad", "s", "true")},
+	}
+	for _, p := range positions {
+		for _, b := range bytes {
+			testInvalidResponse(t, p.name+", "+b.name, strings.Replace(p.response, "?", b.value, 1))
+		}
+	}
+}
+
+// testInvalidResponse tests that an invalid response ends its call and its connection, on a new
+// connection and on a kept one.
+func testInvalidResponse(t *testing.T, name, invalid string) {
+	for _, f := range followers {
+		for _, kept := range []bool{false, true} {
+			fullName := name + ", then " + f.name
+			if kept {
+				fullName += ", on a kept connection"
+			}
+			t.Run(fullName, func(t *testing.T) {
+				address, after := invalidUpstream(t, invalid+f.bytes)
+				h := &Handler{Gate: newGate(4), Headers: identifyingCodec{}}
+				h.SetTarget(Target{Address: address, MaxConnections: 1, Instance: "i-1"})
+				t.Cleanup(func() { h.SetTarget(Target{}) })
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
 				if kept {
-					name += ", on a kept connection"
-				}
-				t.Run(name, func(t *testing.T) {
-					address, after := invalidUpstream(t, tt.invalid+f.bytes)
-					h := &Handler{Gate: newGate(4), Headers: identifyingCodec{}}
-					h.SetTarget(Target{Address: address, MaxConnections: 1, Instance: "i-1"})
-					t.Cleanup(func() { h.SetTarget(Target{}) })
-					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-					defer cancel()
-					if kept {
-						_, body, err := doWithID(ctx, h, "before", http.MethodGet)
-						assert.NilError(t, err)
-						assert.Equal(t, body, "good")
-					}
-					status, body, err := doWithID(ctx, h, "bad", http.MethodGet)
-					assert.NilError(t, ctx.Err())
-					var callErr *peer.CallError
-					assert.Assert(t, errors.As(err, &callErr), "status %d, body %q, error %v", status, body, err)
-					assert.Equal(t, callErr.Outcome, peer.Unknown)
-					assert.Equal(t, callErr.Reason, ReasonInvalidResponse)
-					assert.Equal(t, <-after, "")
-					_, body, err = doWithID(ctx, h, "after", http.MethodGet)
+					_, body, err := doWithID(ctx, h, "before", http.MethodGet)
 					assert.NilError(t, err)
 					assert.Equal(t, body, "good")
-				})
-			}
+				}
+				status, body, err := doWithID(ctx, h, "bad", http.MethodGet)
+				assert.NilError(t, ctx.Err())
+				var callErr *peer.CallError
+				assert.Assert(t, errors.As(err, &callErr), "status %d, body %q, error %v", status, body, err)
+				assert.Equal(t, callErr.Outcome, peer.Unknown)
+				assert.Equal(t, callErr.Reason, ReasonInvalidResponse)
+				assert.Equal(t, <-after, "")
+				_, body, err = doWithID(ctx, h, "after", http.MethodGet)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "good")
+			})
 		}
 	}
 }
@@ -152,6 +196,11 @@
 		{name: "after 100, 102 and 103", response: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + rawResponse("bad", "s", "true"), status: 200, body: "true"},
 		{name: "after 100 with a length of zero", response: "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + rawResponse("bad", "s", "true"), status: 200, body: "true"},
 		{name: "status text with a tab and other letters", response: "HTTP/1.1 200 O\tK \xfc\r\n" + headers + "Content-Length: 2\r\n\r\nhi", status: 200, body: "hi"},
+		{name: "lines that end with a line feed", response: "HTTP/1.1 200 OK\nId: bad\nSignature: s\nContent-Length: 2\n\nhi", status: 200, body: "hi"},
+		{name: "all letters of a name", response: "HTTP/1.1 200 OK\r\n" + headers + "!#$%&'*+-.^_`|~09azAZ: x\r\nContent-Length: 2\r\n\r\nhi", status: 200, body: "hi"},
+		{name: "blanks and colons in values", response: "HTTP/1.1 200 OK\r\n" + headers + "A:\r\nB: \t x\t:y \r\nContent-Length:2 \r\n\r\nhi", status: 200, body: "hi"},
+		{name: "blank lines in the body", response: "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 8\r\n\r\n\r\n x\n\ny:", status: 200, body: "\r\n x\n\ny:"},
+		{name: "long head", response: "HTTP/1.1 200 OK\r\n" + headers + strings.Repeat("A-Long-Name: and its value\r\n", 1000) + "Content-Length: 2\r\n\r\nhi", status: 200, body: "hi"},
 		{name: "no status text", response: "HTTP/1.1 200 \r\n" + headers + "Content-Length: 2\r\n\r\nhi", status: 200, body: "hi"},
 		{name: "204", response: "HTTP/1.1 204 No Content\r\n" + headers + "\r\n", status: 204},
 		{name: "204 with a length of zero", response: "HTTP/1.1 204 No Content\r\n" + headers + "Content-Length: 0\r\n\r\n", status: 204},
--- a/internal/serve/response.go
+++ b/internal/serve/response.go
@@ -73,9 +73,13 @@
 	if err = x.conn.awaitPrefix(); err != nil {
 		return nil, err
 	}
+	x.conn.beginScan()
 	if response, err = http.ReadResponse(x.conn.reader, request); err != nil {
 		return nil, classify(err)
 	}
+	if err = x.conn.scanner.err; err != nil {
+		return nil, err
+	}
 	return response, checkHead(response)
 }
 
