Check field names of replies from other nodes, and their status in entry

A node of an older build passes on a field name with a blank as its upstream sent it, and a response that was recorded for a key may have one. Callers would get it from a current node, too.

Cause: only steer looked at the head of a reply, and only at its status. The entry of a node passed on any status, 000 as well.

Change: peer.Reply.Check refuses a status outside 200 to 599 and an invalid field name, as an unknown outcome with the reason answer-invalid.

Result: without the check of names, 2 new cases of TestRetriesOnlySafeRequests fail, and without the check in entry, 4 of TestDispatchRetriesOnlyIfSafe. They pass now. No run outside of tests.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -218,13 +218,7 @@
 	start := time.Now()
 	attempt := d.Picker.Begin(start, candidate.Host)
 	call := d.newCall(s)
-	var reply *peer.Reply
-	var err error
-	if d.Local != nil && candidate.Host == d.Host {
-		reply, err = d.Local.Call(ctx, call)
-	} else {
-		reply, err = d.Caller.Call(ctx, candidate.Node, call)
-	}
+	reply, err := d.call(ctx, candidate, call)
 	now := time.Now()
 	if err != nil {
 		if !errors.As(err, &callErr) {
@@ -260,6 +254,22 @@
 	return response, nil
 }
 
+// call sends the call to the node of the candidate.
+func (d *Dispatcher) call(ctx context.Context, candidate pick.Candidate, call *peer.Call) (reply *peer.Reply, err error) {
+	if d.Local != nil && candidate.Host == d.Host {
+		reply, err = d.Local.Call(ctx, call)
+	} else {
+		reply, err = d.Caller.Call(ctx, candidate.Node, call)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err = reply.Check(); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // endedByCaller reports whether the call failed because of the caller and not of
 // the upstream.
 func endedByCaller(ctx context.Context, callErr *peer.CallError) bool {
--- a/internal/entry/dispatch_test.go
+++ b/internal/entry/dispatch_test.go
@@ -25,7 +25,9 @@
 // calls.
 type scriptedCaller struct {
 	// errs holds the result of each attempt; nil means a response.
-	errs       []*peer.CallError
+	errs []*peer.CallError
+	// heads holds the heads of the first responses; that of the others has a status of 200.
+	heads      []*wire.ReplyHead
 	nodes      []netip.AddrPort
 	attemptIDs []string
 	body       string
@@ -41,7 +43,11 @@
 	if n := len(s.nodes); n <= len(s.errs) && s.errs[n-1] != nil {
 		return nil, s.errs[n-1]
 	}
-	return &peer.Reply{Head: &wire.ReplyHead{Status: 200}, Body: io.NopCloser(strings.NewReader(""))}, nil
+	head := &wire.ReplyHead{Status: 200}
+	if n := len(s.nodes); n <= len(s.heads) {
+		head = s.heads[n-1]
+	}
+	return &peer.Reply{Head: head, Body: io.NopCloser(strings.NewReader(""))}, nil
 }
 
 // countingLocalCaller is a LocalCaller that counts its calls.
@@ -77,11 +83,15 @@
 	notRun := &peer.CallError{Outcome: peer.NotRun, Reason: "gate-full"}
 	unknown := &peer.CallError{Outcome: peer.Unknown, Reason: "session-lost"}
 	long := strings.Repeat("x", MaxBufferedBody+1)
+	status000 := &wire.ReplyHead{}
+	status600 := &wire.ReplyHead{Status: 600}
+	invalidName := &wire.ReplyHead{Status: 200, Headers: []*wire.Header{{Name: "O dd", Value: "1"}}}
 	tests := []struct {
 		name     string
 		method   string
 		body     string
 		errs     []*peer.CallError
+		heads    []*wire.ReplyHead
 		attempts int
 		outcome  Outcome
 		status   int
@@ -92,12 +102,16 @@
 		{name: "unknown is not retried", method: "POST", errs: []*peer.CallError{unknown}, attempts: 1, outcome: Unknown, status: 502},
 		{name: "unknown is retried if idempotent", method: "GET", errs: []*peer.CallError{unknown}, attempts: 2},
 		{name: "unknown stays unknown after not run", method: "GET", errs: []*peer.CallError{unknown, notRun, notRun}, attempts: 3, outcome: Unknown, status: 502},
+		{name: "status 000 of an older node", method: "POST", heads: []*wire.ReplyHead{status000}, attempts: 1, outcome: Unknown, status: 502},
+		{name: "status 600 of an older node, idempotent", method: "GET", heads: []*wire.ReplyHead{status600}, attempts: 2},
+		{name: "field name of an older node", method: "POST", heads: []*wire.ReplyHead{invalidName}, attempts: 1, outcome: Unknown, status: 502},
+		{name: "field name of older nodes, idempotent", method: "GET", heads: []*wire.ReplyHead{invalidName, invalidName}, attempts: 3},
 		{name: "streamed body is not sent again", method: "POST", body: long, errs: []*peer.CallError{notRun}, attempts: 1, outcome: NotRun, status: 503},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				caller := &scriptedCaller{errs: tt.errs}
+				caller := &scriptedCaller{errs: tt.errs, heads: tt.heads}
 				d := newDispatcher(caller, tree.MemoryStore)
 				// Earlier requests have filled the retry budget.
 				for range 100 {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -47,6 +47,16 @@
 	Body io.ReadCloser
 }
 
+// Check returns a *CallError and closes the body if no response can have the head: nodes of
+// older builds pass on what their upstreams send, and repeat what they have recorded.
+func (r *Reply) Check() error {
+	err := wire.CheckReplyHead(r.Head)
+	if err == nil {
+		return nil
+	}
+	return &CallError{Outcome: Unknown, Reason: ReasonInvalidResponse, Err: errors.Join(err, r.Body.Close())}
+}
+
 // exchange is the client side of one call on one stream.
 type exchange struct {
 	stream *clientStream
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -75,6 +75,9 @@
 	ReasonWrongCall = "crossed-answer"
 	// ReasonTruncated means that the reply body ended early.
 	ReasonTruncated = "answer-cut"
+	// ReasonInvalidResponse means that the upstream sent an invalid response, such as one
+	// with a status of 000 or 600, a blank in a field name, or a 204 with a body.
+	ReasonInvalidResponse = "answer-invalid"
 	// ReasonRequestBody means that reading the request body failed.
 	ReasonRequestBody = "request-body"
 	// ReasonProtocol means that a frame violated the protocol.
--- a/internal/serve/reason.go
+++ b/internal/serve/reason.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/pkg/gate"
 )
 
@@ -40,9 +41,8 @@
 	// ReasonUnattributed means that a refusal may have been that of an earlier request on
 	// the connection.
 	ReasonUnattributed = "answer-unattributed"
-	// ReasonInvalidResponse means that the upstream sent a response that is invalid, such as
-	// one with a status of 000 or 600, or a 204 with a body.
-	ReasonInvalidResponse = "answer-invalid"
+	// ReasonInvalidResponse means that the upstream sent a response that is invalid.
+	ReasonInvalidResponse = peer.ReasonInvalidResponse
 	// ReasonSilent means that the upstream sent no byte of a response while it answered
 	// calls that were sent later.
 	ReasonSilent = "upstream-silent"
--- a/internal/steer/fetch.go
+++ b/internal/steer/fetch.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"arbutusstep.example/arbutusstep/internal/cells"
 	"arbutusstep.example/arbutusstep/internal/peer"
 	"arbutusstep.example/arbutusstep/internal/quota"
-	"arbutusstep.example/arbutusstep/internal/serve"
-	"arbutusstep.example/arbutusstep/internal/wire"
 	"arbutusstep.example/arbutusstep/pkg/pick"
 )
 
@@ -76,9 +73,7 @@
 	if result.err != nil {
 		return result
 	}
-	if status := int(result.reply.Head.GetStatus()); !wire.IsFinalStatus(status) {
-		// Nodes of older builds pass on any status.
-		result.err = &peer.CallError{Outcome: peer.Unknown, Reason: serve.ReasonInvalidResponse, Err: errors.Join(fmt.Errorf("status %d", status), result.reply.Body.Close())}
+	if result.err = result.reply.Check(); result.err != nil {
 		result.reply = nil
 		return result
 	}
--- a/internal/steer/router_test.go
+++ b/internal/steer/router_test.go
@@ -195,6 +195,8 @@
 		{name: "status 099 of an older proxy, idempotent", attempts: 2, results: []callResult{{status: 99}, ok}, status: 200, calls: 2},
 		{name: "status 101 of an older proxy", kind: plan.AtMostOnce, attempts: 2, results: []callResult{{status: 101}, ok}, status: 502, calls: 1},
 		{name: "status 600 of older proxies", attempts: 2, results: []callResult{{status: 600}, {status: 999}, ok}, status: 502, calls: 2},
+		{name: "field name of an older proxy, at most once", kind: plan.AtMostOnce, attempts: 2, results: []callResult{{status: 200, headers: []*wire.Header{{Name: "O dd", Value: "1"}}}, ok}, status: 502, calls: 1},
+		{name: "field name of an older proxy, idempotent", attempts: 2, results: []callResult{{status: 200, headers: []*wire.Header{{Name: "Odd\n", Value: "1"}}}, ok}, status: 200, calls: 2},
 		{name: "status 599", kind: plan.AtMostOnce, attempts: 2, results: []callResult{{status: 599}, ok}, status: 599, calls: 1},
 		{name: "client error is returned", attempts: 2, results: []callResult{{status: 409}}, status: 409, calls: 1},
 		{name: "timeout", attempts: 2, results: []callResult{{hangs: true}}, status: 504, calls: 1},
