Take only a status of 2xx as success in the operators' commands

The commands took a response with a status of 000, 099 or 301 and a valid body as the node's answer, such as a change that was accepted.

Cause: every status below 400 counted as success, and hertz's client reports a status of 000 as 200. Nodes send none of them; another program that has the address of one may.

Change: success is 2xx. The requests are sent by net/http, whose client shows the status as it came and ends when its context does.

Result: TestOnlyA2xxIsSuccess failed for 000, 099 and 301 before, and passes.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -2,20 +2,19 @@
 package client
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-
 	"arbutusstep.example/arbutusstep/internal/forms"
 	"arbutusstep.example/arbutusstep/pkg/mesh"
 	"arbutusstep.example/arbutusstep/pkg/tree"
@@ -116,27 +115,40 @@
 			err = fmt.Errorf("node %s: %w", c.Address, err)
 		}
 	}()
-	httpClient, err := client.NewClient(client.WithDialer(standard.NewDialer()), client.WithDialTimeout(dialTimeout))
+	var body []byte
+	if request != nil {
+		if body, err = json.Marshal(request); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(ctx))
+	defer cancel()
+	httpRequest, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address.String()+target, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
-	defer httpClient.CloseIdleConnections()
-	httpRequest, httpResponse := &protocol.Request{}, &protocol.Response{}
-	httpRequest.SetMethod(method)
-	httpRequest.SetRequestURI("http://" + c.Address.String() + target)
-	httpRequest.SetConnectionClose()
 	if request != nil {
-		body, errMarshal := json.Marshal(request)
-		if errMarshal != nil {
-			return errMarshal
-		}
-		httpRequest.Header.SetContentTypeBytes([]byte("application/json"))
-		httpRequest.SetBody(body)
+		httpRequest.Header.Set("Content-Type", "application/json")
 	}
-	if err = httpClient.DoTimeout(ctx, httpRequest, httpResponse, c.timeout(ctx)); err != nil {
+	status, data, err := send(httpRequest)
+	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
-	return decodeResponse(httpResponse.StatusCode(), httpResponse.Body(), response)
+	return decodeResponse(status, data, response)
+}
+
+// send sends the request on a connection of its own and returns the status and the whole body
+// of the response. The client of hertz can't be used, as it reports a status of 000 as 200.
+func send(request *http.Request) (status int, body []byte, err error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err = io.ReadAll(response.Body)
+	return response.StatusCode, body, err
 }
 
 // timeout returns the time that is left for a call.
@@ -151,7 +163,7 @@
 }
 
 func decodeResponse(status int, body []byte, response any) (err error) {
-	if status < http.StatusBadRequest {
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
 		if err = json.Unmarshal(body, response); err != nil {
 			return fmt.Errorf("decode response: %w", err)
 		}
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -1,8 +1,11 @@
 package client_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -53,6 +56,46 @@
 	}
 }
 
+// answer sends the response on the first connection that it accepts.
+func answer(listener net.Listener, response string) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if _, err = http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		_, _ = io.WriteString(conn, response)
+	}
+}
+
+// TestOnlyA2xxIsSuccess has a node, or what has its address, answer with a status that
+// net/http can't send.
+func TestOnlyA2xxIsSuccess(t *testing.T) {
+	tests := []struct {
+		name, status string
+		success      bool
+	}{
+		{name: "200", status: "200 OK", success: true},
+		{name: "299", status: "299 Odd", success: true},
+		{name: "000", status: "000 None"},
+		{name: "099", status: "099 Low"},
+		{name: "301", status: "301 Moved Permanently"},
+		{name: "600", status: "600 High"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer listener.Close()
+			go answer(listener, "HTTP/1.1 "+tt.status+"\r\nContent-Length: 13\r\n\r\n{\"version\":7}")
+			node := &client.Client{Address: netip.MustParseAddrPort(listener.Addr().String())}
+			accepted, err := node.Submit(context.Background(), forms.Change{ID: "a"})
+			assert.Equal(t, err == nil, tt.success, "%v", err)
+			assert.Equal(t, accepted.Version == 7, tt.success)
+		})
+	}
+}
+
 func TestUnreachableNodeReturnsErrNoResponse(t *testing.T) {
 	server := httptest.NewServer(nil)
 	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
