--- a/internal/proxy/brokenresponse_test.go
+++ b/internal/proxy/brokenresponse_test.go
@@ -14,19 +14,27 @@
 	"gotest.tools/v3/assert"
 )
 
-// uploadTime is how long an upstream lets the body of a request fill the buffers of its
-// connection.
-const uploadTime = 5 * time.Millisecond
+// faultPath is the path of the requests that a faulty upstream answers badly.
+const faultPath = "/o/fault"
 
-// resettingUpstream answers uploads before it has read them, with a part of a response without
-// a length, and resets the connection. It reads and answers all other requests.
-type resettingUpstream struct {
+// fault answers a request, whose body is unread, before its connection is closed.
+type fault func(conn *net.TCPConn, request *http.Request)
+
+// faultyUpstream is an upstream in trouble.
+type faultyUpstream struct {
 	instance string
-	// ran counts the uploads.
+	// fault answers the requests to faultPath. All others get a valid response.
+	fault atomic.Pointer[fault]
+	// ran counts the requests to faultPath.
 	ran atomic.Int32
 }
 
-func (u *resettingUpstream) serve(conn net.Conn) {
+// identityFields returns the header fields that identify a response to the request.
+func identityFields(request *http.Request) string {
+	return fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Signature: s\r\n", request.Header.Get("X-Request-Id"))
+}
+
+func (u *faultyUpstream) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -34,84 +42,73 @@
 		if err != nil {
 			return
 		}
-		identity := fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Signature: s\r\n", request.Header.Get("X-Request-Id"))
-		if strings.HasPrefix(request.URL.Path, "/o/upload") {
+		if request.URL.Path == faultPath {
 			u.ran.Add(1)
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+identity+"\r\npart")
-			time.Sleep(uploadTime)
-			_ = conn.(*net.TCPConn).SetLinger(0)
+			(*u.fault.Load())(conn.(*net.TCPConn), request)
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n%sContent-Length: 4\r\n\r\ngood", u.instance, identity)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n%sContent-Length: 4\r\n\r\ngood", u.instance, identityFields(request))
 	}
 }
 
+// newFaultyUpstream starts a mesh with a faulty upstream. It returns the upstream's own proxy
+// and one of another host.
+func newFaultyUpstream(t *testing.T) (upstream *faultyUpstream, proxies []*testProxy) {
+	m := newMeshWith(t, meshOptions{document: unsafeDocument()}, "orders", "prints")
+	upstream = &faultyUpstream{instance: m.proxies[0].instance}
+	m.proxies[0].replaceUpstream(t, "orders", upstream.serve)
+	for _, p := range m.proxies {
+		p.waitForUpstream(t)
+	}
+	return upstream, m.proxies
+}
+
+// expectFault sends a request that the upstream answers with the fault. The caller must get a
+// 502, and the upstream must run the request once.
+func (u *faultyUpstream) expectFault(t *testing.T, p *testProxy, id, requestBody string, answer fault) (body string) {
+	t.Helper()
+	u.fault.Store(&answer)
+	before := u.ran.Load()
+	status, body := p.sendBody(t, id, faultPath, requestBody)
+	assert.Check(t, status == http.StatusBadGateway, "%d %q", status, body)
+	assert.Equal(t, u.ran.Load(), before+1)
+	// A breaker would open if most requests failed.
+	for range 2 {
+		status, between := p.send(t, "between", "/o/x")
+		assert.Check(t, status == http.StatusOK && between == "good", "%d %q", status, between)
+	}
+	return body
+}
+
 // TestResponseResetDuringAnUploadNeverReachesTheCaller guards against the part of a response
 // without a length that a caller gets as a complete one, because the upstream resets the
-// connection while the body of the request is being sent: at its own proxy, and at one of
-// another host.
+// connection while the body of the request is being sent.
 func TestResponseResetDuringAnUploadNeverReachesTheCaller(t *testing.T) {
 	const plays = 20
+	// uploadTime is how long the body of a request may fill the buffers of its connection.
+	const uploadTime = 5 * time.Millisecond
+	upstream, proxies := newFaultyUpstream(t)
+	answer := func(conn *net.TCPConn, request *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+identityFields(request)+"\r\npart")
+		time.Sleep(uploadTime)
+		_ = conn.SetLinger(0)
+	}
 	upload := strings.Repeat("x", 7<<20)
-	m := newMeshWith(t, meshOptions{document: unsafeDocument()}, "orders", "prints")
-	near, far := m.proxies[0], m.proxies[1]
-	upstream := &resettingUpstream{instance: near.instance}
-	near.replaceUpstream(t, "orders", upstream.serve)
-	for _, p := range []*testProxy{near, far} {
-		p.waitForUpstream(t)
+	for _, p := range proxies {
 		t.Run(p.instance, func(t *testing.T) {
 			for i := range plays {
-				before := upstream.ran.Load()
-				status, body := p.sendBody(t, fmt.Sprintf("upload-%d", i), "/o/upload", upload)
-				assert.Check(t, status == http.StatusBadGateway, "%d %q", status, body)
-				assert.Equal(t, upstream.ran.Load(), before+1)
-				// A breaker would open if most requests failed.
-				for range 2 {
-					status, body = p.send(t, "between", "/o/x")
-					assert.Check(t, status == http.StatusOK && body == "good", "%d %q", status, body)
-				}
+				upstream.expectFault(t, p, fmt.Sprintf("upload-%d", i), upload, answer)
 			}
 		})
 	}
 }
 
-// invalidUpstream answers requests whose path begins with /o/invalid with the response, and
-// others with a valid one.
-type invalidUpstream struct {
-	instance string
-	response atomic.Pointer[string]
-	// ran counts the requests that got the response.
-	ran atomic.Int32
-}
-
-func (u *invalidUpstream) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		identity := fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Signature: s\r\n", request.Header.Get("X-Request-Id"))
-		if strings.HasPrefix(request.URL.Path, "/o/invalid") {
-			u.ran.Add(1)
-			_, _ = io.WriteString(conn, strings.ReplaceAll(*u.response.Load(), "IDENTITY", identity))
-			return
-		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n%sContent-Length: 4\r\n\r\ngood", u.instance, identity)
-	}
-}
-
 // TestInvalidResponseNeverReachesTheCaller guards against responses with an invalid field name
-// or status that a caller gets: at the upstream's own proxy, and at one of another host.
+// or status that a caller gets.
 func TestInvalidResponseNeverReachesTheCaller(t *testing.T) {
-	m := newMeshWith(t, meshOptions{document: unsafeDocument()}, "orders", "prints")
-	near, far := m.proxies[0], m.proxies[1]
-	upstream := &invalidUpstream{instance: near.instance}
-	near.replaceUpstream(t, "orders", upstream.serve)
-	responses := []struct{ name, response string }{
+	upstream, proxies := newFaultyUpstream(t)
+	tests := []struct{ name, response string }{
 		{name: "space in a name", response: "HTTP/1.1 200 OK\r\nIDENTITYO dd: 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{name: "space after a name", response: "HTTP/1.1 200 OK\r\nIDENTITYOdd : 1\r\nContent-Length: 2\r\n\r\nhi"},
 		{name: "space before the name of the length", response: "HTTP/1.1 200 OK\r\nIDENTITY Content-Length: 2\r\n\r\nhi"},
@@ -133,21 +130,14 @@
 		{name: "status 000 of HTTP/1.0", response: "HTTP/1.0 000 None\r\nIDENTITY\r\nhi"},
 		{name: "status 000 before a response", response: "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nIDENTITYContent-Length: 2\r\n\r\nhi"},
 	}
-	for _, p := range []*testProxy{near, far} {
-		p.waitForUpstream(t)
-		for _, tt := range responses {
+	for _, p := range proxies {
+		for _, tt := range tests {
 			t.Run(p.instance+", "+tt.name, func(t *testing.T) {
-				upstream.response.Store(&tt.response)
-				before := upstream.ran.Load()
-				status, body := p.send(t, "invalid-1", "/o/invalid")
-				assert.Equal(t, status, http.StatusBadGateway, body)
+				body := upstream.expectFault(t, p, "invalid-1", "hello", func(conn *net.TCPConn, request *http.Request) {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, strings.ReplaceAll(tt.response, "IDENTITY", identityFields(request)))
+				})
 				assert.Assert(t, strings.Contains(body, "answer-invalid"), body)
-				assert.Equal(t, upstream.ran.Load(), before+1)
-				// A breaker would open if most requests failed.
-				for range 2 {
-					status, body = p.send(t, "between", "/o/x")
-					assert.Check(t, status == http.StatusOK && body == "good", "%d %q", status, body)
-				}
 			})
 		}
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -229,6 +229,25 @@
 	return bytes.Replace(newDocument(1, "/o/", "orders"), []byte(`"kind":"safe"`), []byte(`"kind":"unsafe"`), 1)
 }
 
+// replaceUpstream makes serve handle the connections to the upstream.
+func (p *testProxy) replaceUpstream(t *testing.T, service string, serve func(conn net.Conn)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	_ = p.upstream.Listener.Close()
+	p.upstream.Listener = listener
+	assert.Equal(t, p.register(t, service, "ready"), http.StatusOK)
+}
+
 // waitForUpstream waits until the proxy reaches an upstream that answers with the body "good".
 func (p *testProxy) waitForUpstream(t *testing.T) {
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
