Wait for unread bytes before a test closes a connection during an upload

Cause: the test was wrong. Closing a connection resets it only if bytes that it received are unread. The case closed it at once, at times before the first byte of the upload had come; then the connection ends in order, after the whole response.

Change: the upstream of the case waits until there are unread bytes. The expectation is the same, and the case now tests what its name says each time.

--- a/internal/serve/reset_test.go
+++ b/internal/serve/reset_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,6 +92,20 @@
 	}
 }
 
+// awaitUnread waits until the connection has received bytes that are not read. Closing it then
+// resets it, while one without such bytes ends in order.
+func awaitUnread(conn *net.TCPConn, _ io.Reader) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	var one [1]byte
+	_ = raw.Read(func(descriptor uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN)
+	})
+}
+
 // TestResponseWithoutLengthEndsWithItsConnection guards against a check for resets that
 // refuses complete responses, and has each connection end in each way several times.
 func TestResponseWithoutLengthEndsWithItsConnection(t *testing.T) {
@@ -115,7 +131,7 @@
 		{name: "reset after a short request", request: "short", steps: []step{read, answer, reset}},
 		{name: "reset after an upload", request: upload, steps: []step{read, answer, reset}},
 		{name: "reset during an upload", request: upload, steps: []step{answer, reset}},
-		{name: "closed during an upload", request: upload, steps: []step{answer}},
+		{name: "closed during an upload", request: upload, steps: []step{awaitUnread, answer}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
