Keep responses that have ended before their connection is reset

Cause: whether a connection has a peer doesn't tell which came first.

Change: the error that the write got does. It is ECONNRESET if the reset came first, and EPIPE if the connection had ended before.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -56,6 +57,9 @@
 	// answered is true once a response was read, and identified once one with the ID of
 	// its request was.
 	answered, identified bool
+	// writeMutex is held during a write, and writeErr is the first error of one.
+	writeMutex sync.Mutex
+	writeErr   error
 	// lastUsed is when the last call ended.
 	lastUsed time.Time
 	// keepAlive is how long the connection may be idle according to the upstream's
@@ -115,7 +119,11 @@
 // Write implements io.Writer.
 func (c *conn) Write(data []byte) (n int, err error) {
 	c.written = true
-	return c.Conn.Write(data)
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	n, err = c.Conn.Write(data)
+	c.writeErr = cmp.Or(c.writeErr, err)
+	return n, err
 }
 
 // usable reports whether the idle connection can be used for another request: it
@@ -147,22 +155,33 @@
 	return n, errors.Join(err, readErr)
 }
 
-// wasReset reports whether the connection was reset or closed. The error of a reset is
-// returned only once, by a read or by a write: if a write gets it, reads return the same
-// io.EOF as for a connection that the upstream has ended.
-func (c *conn) wasReset() bool {
+// endedByReset reports whether a read returned io.EOF because of a reset. The error of a
+// reset is returned only once, by a read or by a write: if a write gets it, reads return the
+// same io.EOF as for a connection that the upstream has ended. The error of a reset that
+// follows such an end is another one.
+func (c *conn) endedByReset() bool {
+	if c.hasPeer() {
+		return false
+	}
+	// A write to a connection that was reset returns at once.
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	return errors.Is(c.writeErr, syscall.ECONNRESET)
+}
+
+// hasPeer reports whether the connection is open at this end and was not reset.
+func (c *conn) hasPeer() bool {
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return true
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return true
+		return false
 	}
 	var peerErr error
-	// Only a reset takes the address of the other end away.
 	err = raw.Control(func(descriptor uintptr) { _, peerErr = syscall.Getpeername(int(descriptor)) })
-	return errors.Join(err, peerErr) != nil
+	return errors.Join(err, peerErr) == nil
 }
 
 // connPool is a pool of connections to one upstream.
@@ -313,11 +332,11 @@
 	complete bool
 }
 
-// Read implements io.Reader. If the body ends with the connection while the request is being
-// sent, it is complete only if the connection was not reset.
+// Read implements io.Reader. A body that ends with the connection while the request is being
+// sent is incomplete if a reset ended it.
 func (b *responseBody) Read(data []byte) (n int, err error) {
 	n, err = b.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) && b.untilClose && !b.exchange.requestSent() && b.exchange.conn.wasReset() {
+	if errors.Is(err, io.EOF) && b.untilClose && !b.exchange.requestSent() && b.exchange.conn.endedByReset() {
 		err = io.ErrUnexpectedEOF
 	}
 	b.complete = b.complete || errors.Is(err, io.EOF)
--- a/internal/serve/reset_test.go
+++ b/internal/serve/reset_test.go
@@ -106,6 +106,39 @@
 	})
 }
 
+// TestResetAfterTheEndLeavesTheResponseComplete guards against a complete response that is
+// lost: the upstream has ended its side of the connection in order before it resets it, and a
+// write gets the error of the reset.
+func TestResetAfterTheEndLeavesTheResponseComplete(t *testing.T) {
+	tests := []struct{ name, body string }{
+		{name: "body", body: "whole"},
+		{name: "no body"},
+		{name: "long body", body: strings.Repeat("whole ", 10_000)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address := serveConnections(t, func(conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: call\r\nSignature: s\r\n\r\n"+tt.body)
+				_ = conn.(*net.TCPConn).CloseWrite()
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			})
+			h := &Handler{Gate: newGate(4), Headers: testCodec{}, dial: dialFailingWrite}
+			h.SetTarget(Target{Address: address, MaxConnections: 1, Instance: "i-1"})
+			t.Cleanup(func() { h.SetTarget(Target{}) })
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			call := callHead(upload)
+			call.Id = "call"
+			_, body, err := do(ctx, h, call, upload)
+			assert.NilError(t, err)
+			assert.Equal(t, body, tt.body)
+		})
+	}
+}
+
 // TestResponseWithoutLengthEndsWithItsConnection guards against a check for resets that
 // refuses complete responses, and has each connection end in each way several times.
 func TestResponseWithoutLengthEndsWithItsConnection(t *testing.T) {
