--- a/internal/ctrl/candidates.go
+++ b/internal/ctrl/candidates.go
@@ -24,6 +24,14 @@
 	releases []mesh.Release
 }
 
+// lastResort returns the candidates that get requests if no others are left.
+func (s *serviceUpstreams) lastResort() []pick.Candidate {
+	if len(s.target) > 0 {
+		return s.target
+	}
+	return s.barred
+}
+
 // rebuildSets rebuilds the candidate sets if a record or an order changed, or if upstreams
 // may have become the last resort.
 func (p *proxySnapshotBuilder) rebuildSets(now time.Time) {
@@ -130,7 +138,7 @@
 	p.lastResort, p.lastResortAt = make(map[mesh.Service]bool), time.Time{}
 	for service, view := range p.Rollouts.Get().Views {
 		s := services[service]
-		if s == nil || len(s.target)+len(s.barred) == 0 {
+		if s == nil || len(s.lastResort()) == 0 {
 			continue
 		}
 		at, missing := p.presence[service].AbsentAt(&view)
@@ -140,12 +148,9 @@
 			if p.lastResortAt.IsZero() || at.Before(p.lastResortAt) {
 				p.lastResortAt = at
 			}
-		case len(s.target) > 0:
-			p.lastResort[service] = true
-			s.serving = append(s.serving, s.target...)
 		default:
 			p.lastResort[service] = true
-			s.serving = append(s.serving, s.barred...)
+			s.serving = append(s.serving, s.lastResort()...)
 		}
 	}
 	if !p.lastResortAt.IsZero() {
--- a/internal/ctrl/rolloutagent.go
+++ b/internal/ctrl/rolloutagent.go
@@ -202,10 +202,10 @@
 	if len(views) == 0 {
 		return
 	}
-	for _, l := range a.parentLinks() {
-		if !a.told[l] {
-			a.told[l] = true
-			proxySend(a.Proxy, l, ctlmsg.ShiftState{Views: views, Age: now.Sub(a.confirmedAt)})
+	for _, parent := range a.linkedParents() {
+		if !a.told[parent.link] {
+			a.told[parent.link] = true
+			proxySend(a.Proxy, parent.link, ctlmsg.ShiftState{Views: views, Age: now.Sub(a.confirmedAt)})
 		}
 	}
 }
@@ -239,20 +239,13 @@
 	return links
 }
 
-// parentLinks returns the links to all parents.
-func (a *rolloutAgent) parentLinks() (links []cells.LinkID) {
-	for _, parent := range a.linkedParents() {
-		links = append(links, parent.link)
-	}
-	return links
-}
-
 // linkedParent is a parent to which this proxy has a link.
 type linkedParent struct {
 	link   cells.LinkID
 	isRoot bool
 }
 
+// linkedParents returns all parents to which this proxy has a link.
 func (a *rolloutAgent) linkedParents() (parents []linkedParent) {
 	self, tree := a.Self.Get(), a.Tree.Get()
 	if tree == nil {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -76,7 +76,7 @@
 	if !strings.HasPrefix(target, "/") {
 		return nil, errors.New("request target does not start with a slash")
 	}
-	if strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+	if wire.HasDelimiter(target) {
 		return nil, errors.New("request target with a space or control character")
 	}
 	var connectionHeaders []string
--- a/internal/serve/reason.go
+++ b/internal/serve/reason.go
@@ -15,7 +15,7 @@
 	// ReasonRefused means that the upstream reported that it did not run the call.
 	ReasonRefused = "upstream-refused"
 	// ReasonUnreachable means that no part of the call was sent, because the
-	// connection failed or the path is invalid.
+	// connection failed.
 	ReasonUnreachable = "upstream-unreachable"
 	// ReasonLost means that the exchange with the upstream failed after part of the
 	// call may have been sent.
--- a/internal/serve/requesttarget.go
+++ b/internal/serve/requesttarget.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net/url"
 	"strings"
+
+	"arbutusstep.example/arbutusstep/internal/wire"
 )
 
 // errTarget means that a request cannot be sent with exactly the target that its caller sent.
@@ -13,8 +15,7 @@
 // newTargetURL returns a URL that the HTTP library writes as the target, byte for byte.
 // Targets need not be valid URLs.
 func newTargetURL(address, target string) (u *url.URL, err error) {
-	isDelimiter := func(r rune) bool { return r <= ' ' || r == 0x7f }
-	if target == "" || strings.ContainsFunc(target, isDelimiter) {
+	if target == "" || wire.HasDelimiter(target) {
 		return nil, errTarget
 	}
 	u = &url.URL{Scheme: "http", Host: address, Opaque: target}
--- a/pkg/shift/evidence.go
+++ b/pkg/shift/evidence.go
@@ -83,22 +83,27 @@
 // that.
 func (e *Evidence) Judge(now time.Time, target mesh.Release) (reason string) {
 	for _, w := range windows {
-		sum := e.withOverdue(now, target)
-		if w > 0 {
-			sum = make(Counts)
-			for _, s := range e.slices {
-				if now.Sub(s.from) <= w {
-					sum.Add(s.counts)
-				}
-			}
-		}
-		if reason = judge(sum, target); reason != "" {
+		if reason = judge(e.countsOf(now, w, target), target); reason != "" {
 			return reason
 		}
 	}
 	return ""
 }
 
+// countsOf returns the counts of one of the windows.
+func (e *Evidence) countsOf(now time.Time, window time.Duration, target mesh.Release) Counts {
+	if window == 0 {
+		return e.withOverdue(now, target)
+	}
+	sum := make(Counts)
+	for _, s := range e.slices {
+		if now.Sub(s.from) <= window {
+			sum.Add(s.counts)
+		}
+	}
+	return sum
+}
+
 // maturity returns the time after which a request on a route would be late, and all proxies
 // have told of it.
 func maturity(c Comparison) time.Duration {
