--- a/internal/proxy/brokenresponse_test.go
+++ b/internal/proxy/brokenresponse_test.go
@@ -31,7 +31,11 @@
 
 // identityFields returns the header fields that identify a response to the request.
 func identityFields(request *http.Request) string {
-	return fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Signature: s\r\n", request.Header.Get("X-Request-Id"))
+	return identityOf(request.Header.Get("X-Request-Id"))
+}
+
+func identityOf(requestID string) string {
+	return fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Signature: s\r\n", requestID)
 }
 
 func (u *faultyUpstream) serve(conn net.Conn) {
--- a/internal/proxy/cuthead_test.go
+++ b/internal/proxy/cuthead_test.go
@@ -13,7 +13,7 @@
 func TestResponseCutInItsHeadNeverReachesTheCaller(t *testing.T) {
 	const id = "cut-1"
 	upstream, proxies := newFaultyUpstream(t)
-	identity := fmt.Sprintf("X-Request-Id: %s\r\nX-Response-Signature: s\r\n", id)
+	identity := identityOf(id)
 	tests := []struct{ name, response string }{
 		{name: "length", response: "HTTP/1.1 200 OK\r\n" + identity + "Content-Length: 0\r\n\r\n"},
 		{name: "chunks", response: "HTTP/1.1 200 OK\r\n" + identity + "Transfer-Encoding: chunked\r\n\r\n"},
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -229,20 +229,23 @@
 	return bytes.Replace(newDocument(1, "/o/", "orders"), []byte(`"kind":"safe"`), []byte(`"kind":"unsafe"`), 1)
 }
 
+// acceptEach calls handle for each connection until the listener is closed.
+func acceptEach(listener net.Listener, handle func(conn net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		handle(conn)
+	}
+}
+
 // replaceUpstream makes serve handle the connections to the upstream.
 func (p *testProxy) replaceUpstream(t *testing.T, service string, serve func(conn net.Conn)) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
+	go acceptEach(listener, func(conn net.Conn) { go serve(conn) })
 	_ = p.upstream.Listener.Close()
 	p.upstream.Listener = listener
 	assert.Equal(t, p.register(t, service, "ready"), http.StatusOK)
--- a/internal/proxy/settings_test.go
+++ b/internal/proxy/settings_test.go
@@ -29,15 +29,7 @@
 	assert.NilError(t, err)
 	f := &forwarder{listener: listener}
 	t.Cleanup(f.close)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			f.forward(conn, *target.Load())
-		}
-	}()
+	go acceptEach(listener, func(conn net.Conn) { f.forward(conn, *target.Load()) })
 	return f
 }
 
--- a/internal/serve/reset_test.go
+++ b/internal/serve/reset_test.go
@@ -53,6 +53,27 @@
 	return &failingWriteConn{TCPConn: conn.(*net.TCPConn), writeFailed: make(chan struct{}), readFailed: make(chan struct{})}, nil
 }
 
+// uploadWithFailingWrite sends an upload to an upstream that answers it unread and closes the
+// connection. The error of a reset goes to the write of the upload.
+func uploadWithFailingWrite(t *testing.T, answer func(conn *net.TCPConn)) (h *Handler, body string, err error) {
+	t.Helper()
+	address := serveConnections(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, readErr := http.ReadRequest(reader); readErr == nil {
+			answer(conn.(*net.TCPConn))
+		}
+	})
+	h = &Handler{Gate: newGate(4), Headers: testCodec{}, dial: dialFailingWrite}
+	h.SetTarget(Target{Address: address, MaxConnections: 1, Instance: "i-1"})
+	t.Cleanup(func() { h.SetTarget(Target{}) })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	call := callHead(upload)
+	call.Id = "call"
+	_, body, err = do(ctx, h, call, upload)
+	assert.NilError(t, ctx.Err())
+	return h, body, err
+}
+
 // TestResetSeenByTheRequestTruncatesTheResponse guards against the part of a response that a
 // caller gets as a complete one: an upstream answers before it has read the request and resets
 // the connection, and the error of the reset goes to the write of the request alone.
@@ -70,22 +91,10 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			address := serveConnections(t, func(conn net.Conn, reader *bufio.Reader) {
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
+			h, body, err := uploadWithFailingWrite(t, func(conn *net.TCPConn) {
 				_, _ = io.WriteString(conn, tt.response)
-				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.SetLinger(0)
 			})
-			h := &Handler{Gate: newGate(4), Headers: testCodec{}, dial: dialFailingWrite}
-			h.SetTarget(Target{Address: address, MaxConnections: 1, Instance: "i-1"})
-			t.Cleanup(func() { h.SetTarget(Target{}) })
-			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-			defer cancel()
-			call := callHead(upload)
-			call.Id = "call"
-			_, body, err := do(ctx, h, call, upload)
-			assert.NilError(t, ctx.Err())
 			assert.Assert(t, err != nil, "complete response with the body %q", body)
 			assert.Equal(t, h.counters.Truncated.Load()+h.counters.Unknown.Load(), uint64(1))
 		})
@@ -117,22 +126,11 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			address := serveConnections(t, func(conn net.Conn, reader *bufio.Reader) {
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
+			_, body, err := uploadWithFailingWrite(t, func(conn *net.TCPConn) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: call\r\nSignature: s\r\n\r\n"+tt.body)
-				_ = conn.(*net.TCPConn).CloseWrite()
-				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.CloseWrite()
+				_ = conn.SetLinger(0)
 			})
-			h := &Handler{Gate: newGate(4), Headers: testCodec{}, dial: dialFailingWrite}
-			h.SetTarget(Target{Address: address, MaxConnections: 1, Instance: "i-1"})
-			t.Cleanup(func() { h.SetTarget(Target{}) })
-			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-			defer cancel()
-			call := callHead(upload)
-			call.Id = "call"
-			_, body, err := do(ctx, h, call, upload)
 			assert.NilError(t, err)
 			assert.Equal(t, body, tt.body)
 		})
