--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -20,6 +20,7 @@
 // scenarios holds the cases by the number of their folder.
 var scenarios = map[string]func(r *rig) (broken bool, err error){
 	"11": interimInResponse,
+	"12": oldVersionChunked,
 }
 
 func main() {
