--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -21,6 +21,7 @@
 var scenarios = map[string]func(r *rig) (broken bool, err error){
 	"11": interimInResponse,
 	"12": oldVersionChunked,
+	"13": pausedReader,
 }
 
 func main() {
