--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,7 @@
 	"11": interimInResponse,
 	"12": oldVersionChunked,
 	"13": pausedReader,
+	"14": stopDuringDownload,
 }
 
 func main() {
