--- a/review/standin-3/case11.go
+++ b/review/standin-3/case11.go
@@ -32,7 +32,7 @@
 		r.note("ran: %s %s %s, body of %d bytes", id, request.Method, request.URL.Path, len(received))
 		return write(conn, header(id, body)+"\r\n"+string(body))
 	}
-	if err = r.startPair("a", serve, route{"/file/", "download", "a", "2500ms"}, route{"/view/", "safe", "a", "1500ms"}); err != nil {
+	if err = r.startPair(serve, route{"/file/", "download", "2500ms"}, route{"/view/", "safe", "1500ms"}); err != nil {
 		return false, err
 	}
 	faults := 0
--- a/review/standin-3/case12.go
+++ b/review/standin-3/case12.go
@@ -30,7 +30,7 @@
 			id, signatureOf(id, body), len(body), body))
 		return false
 	}
-	if err = r.startPair("a", serve, route{"/view/", "safe", "a", "1200ms"}, route{"/order/", "unsafe", "a", "1500ms"}); err != nil {
+	if err = r.startPair(serve, route{"/view/", "safe", "1200ms"}, route{"/order/", "unsafe", "1500ms"}); err != nil {
 		return false, err
 	}
 	faults := 0
--- a/review/standin-3/case13.go
+++ b/review/standin-3/case13.go
@@ -28,7 +28,7 @@
 		r.note("ran: %s", id)
 		return write(conn, header(id, body)+"\r\n"+string(body))
 	}
-	if err = r.startPair("a", serve, route{"/fetch/", "download", "a", "8000ms"}); err != nil {
+	if err = r.startPair(serve, route{"/fetch/", "download", "8000ms"}); err != nil {
 		return false, err
 	}
 	lost := 0
--- a/review/standin-3/case14.go
+++ b/review/standin-3/case14.go
@@ -29,7 +29,7 @@
 		r.note("ran: %s", id)
 		return write(conn, header(id, body)+"\r\n"+string(body))
 	}
-	if err = r.startPair("a", serve, route{"/file/", "download", "a", "2500ms"}, route{"/view/", "safe", "a", "1500ms"}); err != nil {
+	if err = r.startPair(serve, route{"/file/", "download", "2500ms"}, route{"/view/", "safe", "1500ms"}); err != nil {
 		return false, err
 	}
 	var group sync.WaitGroup
--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -22,6 +22,8 @@
 	// startTimeout limits the start of the fleet.
 	startTimeout = 20 * time.Second
 	host         = "shop.example"
+	// service is the service of all upstreams.
+	service = "a"
 )
 
 // machine is one proxy with the upstream beside it.
@@ -84,13 +86,13 @@
 	panic("no free port")
 }
 
-// addMachine adds a machine with an upstream of the service.
-func (r *rig) addMachine(service string, serve serveFunc) (m *machine, err error) {
+// addMachine adds a machine with an upstream.
+func (r *rig) addMachine(serve serveFunc) (err error) {
 	name := fmt.Sprintf("sidecar-a-%d", len(r.machines)+1)
-	m = &machine{name: name, callers: freeAddress(), nodes: freeAddress(), admin: freeAddress(), ready: freeAddress()}
-	m.upstream, err = startUpstream(r, fmt.Sprintf("i-%d", len(r.machines)+1), service, serve)
+	m := &machine{name: name, callers: freeAddress(), nodes: freeAddress(), admin: freeAddress(), ready: freeAddress()}
+	m.upstream, err = startUpstream(r, fmt.Sprintf("i-%d", len(r.machines)+1), serve)
 	r.machines = append(r.machines, m)
-	return m, err
+	return err
 }
 
 // settings returns what deploy/proxy.yaml makes of the settings of a small deployment.
@@ -114,17 +116,17 @@
 limits:
   link: %d
   process: %d
-`, m.name, m.upstream.service, r.store.address(), heartbeat, m.callers, m.nodes, m.admin, m.ready, r.linkMbps, r.memoryMB)
+`, m.name, service, r.store.address(), heartbeat, m.callers, m.nodes, m.admin, m.ready, r.linkMbps, r.memoryMB)
 }
 
-// startPair starts two machines with upstreams of the service and configures the routes.
-func (r *rig) startPair(service string, serve serveFunc, routes ...route) (err error) {
+// startPair starts two machines with upstreams and configures the routes.
+func (r *rig) startPair(serve serveFunc, routes ...route) (err error) {
 	for range 2 {
-		if _, err = r.addMachine(service, serve); err != nil {
+		if err = r.addMachine(serve); err != nil {
 			return err
 		}
 	}
-	r.configure(1, routes...)
+	r.configure(routes...)
 	return r.start()
 }
 
@@ -210,29 +212,24 @@
 
 // route is one rule of the operator's configuration.
 type route struct {
-	prefix, kind, service, timeout string
+	prefix, kind, timeout string
 }
 
 // configure writes the configuration as the operator.
-func (r *rig) configure(version int, routes ...route) {
-	rules, clusters := make([]any, 0, len(routes)), []any{}
-	known := map[string]bool{}
+func (r *rig) configure(routes ...route) {
+	rules := make([]any, 0, len(routes))
 	for i, o := range routes {
 		rules = append(rules, map[string]any{
 			"name": fmt.Sprintf("r-%d", i), "kind": o.kind, "target_latency": "800ms", "priority": 1,
 			"match":  map[string]any{"path_prefix": o.prefix},
-			"action": map[string]any{"service": o.service, "timeout": o.timeout, "max_attempts": 2},
+			"action": map[string]any{"service": service, "timeout": o.timeout, "max_attempts": 2},
 		})
-		if !known[o.service] {
-			known[o.service] = true
-			clusters = append(clusters, map[string]any{"name": o.service, "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false})
-		}
 	}
 	r.store.put("config", "main", map[string]any{
-		"version":   fmt.Sprintf("r%d", version),
+		"version":   "r1",
 		"limits":    map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 		"listeners": []any{map[string]any{"host": host, "rule_set": rules}},
-		"clusters":  clusters,
+		"clusters":  []any{map[string]any{"name": service, "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false}},
 	})
 }
 
--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -21,18 +21,18 @@
 
 // upstream plays a server.
 type upstream struct {
-	rig         *rig
-	id, service string
-	listener    net.Listener
-	serve       serveFunc
-	started     time.Time
+	rig      *rig
+	id       string
+	listener net.Listener
+	serve    serveFunc
+	started  time.Time
 
 	mutex    sync.Mutex
 	sequence int
 }
 
-func startUpstream(r *rig, id, service string, serve serveFunc) (u *upstream, err error) {
-	u = &upstream{rig: r, id: id, service: service, serve: serve, started: time.Now()}
+func startUpstream(r *rig, id string, serve serveFunc) (u *upstream, err error) {
+	u = &upstream{rig: r, id: id, serve: serve, started: time.Now()}
 	if u.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -101,7 +101,7 @@
 		u.mutex.Unlock()
 		body, _ := json.Marshal(map[string]any{
 			"address": u.listener.Addr().String(), "born": u.started.UnixMilli(),
-			"info":   map[string]any{"service": u.service, "version": "v1", "zone": "a", "slots": slots},
+			"info":   map[string]any{"service": service, "version": "v1", "zone": "a", "slots": slots},
 			"status": map[string]any{"state": "ready", "sequence": sequence, "cold_remaining": "0ms"},
 		})
 		send(http.MethodPut, "http://"+admin+"/instances/"+u.id, body)
