--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,7 @@
 	"12": oldVersionChunked,
 	"13": pausedReader,
 	"14": stopDuringDownload,
+	"15": stopWithoutVersion,
 }
 
 func main() {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -41,6 +42,8 @@
 	events   []event
 	changed  chan struct{}
 	listener net.Listener
+	// silent is true while the store answers nothing.
+	silent atomic.Bool
 }
 
 func startStore() (s *store, err error) {
@@ -56,6 +59,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
 	path := strings.TrimPrefix(r.URL.Path, "/objects/")
 	kind, name, _ := strings.Cut(path, "/")
 	switch {
