--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the third review, after the build line of deploy/system.toml.
+# Builds the stand-ins of cases 11 to 15 into target/. It needs Go alone, and no network.
 set -eu
-cd "$(dirname "$0")/.."
-go build -o target/standin-3 ./review/standin-3
+cd "$(dirname "$0")/standin-3"
+GOFLAGS=-buildvcs=false GOWORK=off GOTOOLCHAIN=local go build -o ../../target/standin-3 .
--- a/review/standin-3/case11.go
+++ b/review/standin-3/case11.go
@@ -11,8 +11,9 @@
 const (
 	// largeBody is the mean size of a download.
 	largeBody = 90_000
-	// behind is the time after the first request at which the second one is sent.
-	behind = 60 * time.Millisecond
+	// firstBehind is the shortest time after the first request at which the second one is
+	// sent. It grows by behindStep from connection to connection, behindSteps times.
+	firstBehind, behindStep, behindSteps = 20 * time.Millisecond, 10 * time.Millisecond, 8
 	// continueWait is how long the client waits for the interim response before it sends the
 	// body all the same.
 	continueWait = 300 * time.Millisecond
@@ -71,7 +72,7 @@
 		write(conn, "query")
 	}
 	if r.trouble {
-		time.AfterFunc(behind, sendSecond)
+		time.AfterFunc(firstBehind+time.Duration(i%behindSteps)*behindStep, sendSecond)
 	}
 	if fault = r.expect(reader, first); fault != nil {
 		return fault, nil
